--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+LIBS := core document state claims membership routing limits rollout streams platform upstreams peers daemon cli standins bench
+RUN := $(VENV)/bin
+export PYTHONPATH := $(subst $(eval) ,:,$(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)/src))
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test lint types unit demo bench promises proto
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard libs/*/pyproject.toml)
+	test -x $(RUN)/python || $$(command -v $(PYTHON) || command -v python3) -m venv $(VENV)
+	$(RUN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(RUN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation $(foreach lib,$(LIBS),-e libs/$(lib))
+	touch $@
+
+test: lint types unit
+
+lint: setup
+	$(RUN)/ruff format --check .
+	$(RUN)/ruff check .
+	$(RUN)/lint-imports --no-cache --no-logo
+
+types: setup
+	$(RUN)/mypy $(foreach lib,$(LIBS),-p waxwingbarrow.$(lib))
+
+unit: setup
+	$(RUN)/pytest
+
+demo: setup
+	$(RUN)/python -m waxwingbarrow.bench.demo
+
+bench: setup
+	$(RUN)/python -m waxwingbarrow.bench.overhead
+
+promises: setup
+	$(RUN)/python -m waxwingbarrow.bench.promises
+
+proto: setup
+	$(RUN)/python -m grpc_tools.protoc --proto_path=libs/peers/src --python_out=libs/peers/src --pyi_out=libs/peers/src --grpc_python_out=libs/peers/src waxwingbarrow/peers/_peer.proto
--- /dev/null
+++ b/libs/bench/src/waxwingbarrow/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, measurements and proofs."""
--- /dev/null
+++ b/libs/claims/src/waxwingbarrow/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for non-repeatable requests."""
--- /dev/null
+++ b/libs/cli/src/waxwingbarrow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The waxwingbarrow command line."""
--- /dev/null
+++ b/libs/core/tests/test_core.py
@@ -0,0 +1,54 @@
+"""Guards against wrong time arithmetic and wrong claims in problem documents."""
+
+import pytest
+
+from waxwingbarrow import core
+from waxwingbarrow.core import Incarnation, ManualClock, Outcome, Refusal, to_problem
+
+MAY_HAVE_RUN = {
+    "in-progress",
+    "outcome-unknown",
+    "upstream-failed",
+}
+
+
+def all_refusals():
+    found = [getattr(core, name) for name in core.__all__]
+    return [
+        item
+        for item in found
+        if isinstance(item, type) and issubclass(item, Refusal) and item is not Refusal
+    ]
+
+
+@pytest.mark.parametrize("kind", all_refusals(), ids=lambda kind: kind.__name__)
+def test_only_listed_refusals_admit_that_the_request_may_have_run(kind):
+    problem = to_problem(kind(reason="Because."), "/x")
+    assert problem["detail"] == "Because."
+    assert (problem["outcome"] != Outcome.NOT_RUN) == (kind.slug in MAY_HAVE_RUN)
+    assert 400 <= problem["status"] < 600
+
+
+def test_refusal_slugs_are_unique():
+    slugs = [kind.slug for kind in all_refusals()]
+    assert len(slugs) == len(set(slugs))
+
+
+def test_stepped_wall_clock_does_not_change_durations():
+    clock = ManualClock()
+    before = clock.now()
+    clock.step_wall_ms(60_000)
+    clock.advance_ms(10)
+    assert clock.now().mono_ms - before.mono_ms == 10
+
+
+def test_incarnation_round_trip_keeps_order():
+    older, newer = Incarnation(9, 5), Incarnation(10, 1)
+    assert older < newer
+    assert Incarnation.parse(str(newer)) == newer
+
+
+@pytest.mark.parametrize("kind", all_refusals(), ids=lambda kind: kind.__name__)
+def test_resent_request_is_never_told_that_it_did_not_run(kind):
+    refusal = kind(earlier_attempts_unknown=True)
+    assert to_problem(refusal, "/x")["outcome"] != Outcome.NOT_RUN
--- /dev/null
+++ b/libs/daemon/src/waxwingbarrow/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The waxwingbarrowd daemon."""
--- /dev/null
+++ b/libs/document/src/waxwingbarrow/document/__init__.py
@@ -0,0 +1,1 @@
+"""Service documents: classes, schema, reading and comparison."""
--- /dev/null
+++ b/libs/limits/src/waxwingbarrow/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Account limits, fair queueing and admission."""
--- /dev/null
+++ b/libs/membership/src/waxwingbarrow/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip map, failure detection and duty assignment."""
--- /dev/null
+++ b/libs/peers/src/waxwingbarrow/peers/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC exchange between daemons."""
--- /dev/null
+++ b/libs/platform/src/waxwingbarrow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the platform: log, weight store, cloud API, host list."""
--- /dev/null
+++ b/libs/rollout/src/waxwingbarrow/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic share and verdict of a rollout."""
--- /dev/null
+++ b/libs/routing/src/waxwingbarrow/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of upstream, upstream health, retry budget."""
--- /dev/null
+++ b/libs/state/src/waxwingbarrow/state/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic fold of the control log stream."""
--- /dev/null
+++ b/libs/streams/src/waxwingbarrow/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of streamed answers and resume tokens."""
--- /dev/null
+++ b/libs/upstreams/src/waxwingbarrow/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for model engines and plain services."""
