Let several work trees share one environment

Cause: make test in a second work tree reinstalled the editable packages into the shared environment and so redirected the first tree's imports. Ruled out: one environment per tree, which costs a download each. Conclusion: SETUP=no skips the installation.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,16 @@
 RUN := $(VENV)/bin
 export PYTHONPATH := $(subst $(eval) ,:,$(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)/src))
 STAMP := $(VENV)/.installed
+# SETUP=no uses the environment in VENV as it is, for several work trees that share one.
+SETUP ?= yes
 
 .PHONY: setup test lint types unit demo bench promises proto
 
+ifeq ($(SETUP),no)
+setup:
+else
 setup: $(STAMP)
+endif
 
 $(STAMP): requirements.lock $(wildcard libs/*/pyproject.toml)
 	test -x $(RUN)/python || $$(command -v $(PYTHON) || command -v python3) -m venv $(VENV)
