--- a/libs/core/src/waxwingbarrow/core/__init__.py
+++ b/libs/core/src/waxwingbarrow/core/__init__.py
@@ -15,6 +15,16 @@
     VersionName,
     Zone,
 )
+from waxwingbarrow.core._reading import (
+    FieldInvalid,
+    ValueNotAllowedError,
+    in_range,
+    matches,
+    read_data,
+    read_json,
+    write_data,
+    write_json,
+)
 from waxwingbarrow.core._refusals import (
     ClassNotAllowed,
     ClockSuspect,
@@ -52,6 +62,7 @@
     "DataCentre",
     "DeadlineTooShort",
     "Failure",
+    "FieldInvalid",
     "HostId",
     "Incarnation",
     "Instant",
@@ -82,7 +93,14 @@
     "UnknownService",
     "UpstreamFailed",
     "UpstreamId",
+    "ValueNotAllowedError",
     "VersionName",
     "Zone",
+    "in_range",
+    "matches",
+    "read_data",
+    "read_json",
     "to_problem",
+    "write_data",
+    "write_json",
 ]
