Fold the control stream, with checkpoints and leases

Cause: configuration, leases and verdicts need one order that all hosts agree on. Ruled out: accepting a publication or a lease at offset 0. Ruled out: forgetting released leases, since a repeated append could then be accepted. Before: nothing. Conclusion: the fold is deterministic for readers that start at any readable offset.

--- /dev/null
+++ b/libs/state/src/waxwingbarrow/state/_fold.py
@@ -0,0 +1,346 @@
+"""Deterministic fold of the stream ``control``."""
+
+import enum
+import hashlib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+from result import Err, Ok
+
+from waxwingbarrow.state._records import (
+    UNREADABLE_KIND,
+    CheckpointBody,
+    ControlBody,
+    LeaseBody,
+    LogEntry,
+    PublishBody,
+    ReleaseLeaseBody,
+    VerdictBody,
+    VerdictKind,
+    read_body,
+)
+from waxwingbarrow.state._state import (
+    AgreedVerdict,
+    Buffer,
+    CheckpointMark,
+    ControlState,
+    Lease,
+    PartialCheckpoint,
+    Published,
+    VerdictKey,
+    read_state,
+)
+
+# A repeated append follows the first one within the appender's deadline. A repeat
+# outside the window changes nothing either, because it names an outdated base; it is
+# only reported as a conflict instead of as ignored.
+SEEN_WINDOW_RECORDS = 1024
+# Checkpoints cut off by a dead writer are never completed. The limit exceeds the
+# number of entry hosts, all of which may write one at the same time.
+MAX_PARTIAL_CHECKPOINTS = 16
+
+DocumentCheck = Callable[[str], bool]
+
+
+class IgnoredReason(enum.StrEnum):
+    """Why an entry changed nothing although it is well formed."""
+
+    ALREADY_APPLIED = "already_applied"
+    GAP = "gap"
+    REPEATED = "repeated"
+    BUFFERED = "buffered"
+    UNKNOWN_KIND = "unknown_kind"
+    RESERVED_OFFSET = "reserved_offset"
+    OUTDATED = "outdated"
+    CHECKPOINT_PART = "checkpoint_part"
+
+
+@attrs.frozen
+class Accepted:
+    """The record is in force; `offset` is its revision or fencing number."""
+
+    offset: int
+
+
+@attrs.frozen
+class Conflict:
+    """Another record came first in the log.
+
+    Parameters
+    ----------
+    winner_offset : int
+        Offset of the record in force; 0 if there is none.
+    winner_author : str
+        Author or holder of the record in force; empty if there is none.
+    """
+
+    winner_offset: int
+    winner_author: str
+
+
+@attrs.frozen
+class Ignored:
+    """The entry changed nothing."""
+
+    reason: IgnoredReason
+
+
+@attrs.frozen
+class Malformed:
+    """The record does not have the form of its kind, or its document is invalid."""
+
+    detail: str
+
+
+Applied = Accepted | Conflict | Ignored | Malformed
+
+
+def apply(
+    state: ControlState, entry: LogEntry, is_valid_document: DocumentCheck
+) -> tuple[ControlState, Applied]:
+    """Apply one log entry.
+
+    Parameters
+    ----------
+    state : ControlState
+        State before the entry.
+    entry : LogEntry
+        The entry at `state.next_offset`. An earlier one is ignored; a later one is
+        ignored too, as the entries in between are missing.
+    is_valid_document : callable
+        Tells whether a published text is a valid service document. All readers must
+        use the same check, or their states differ.
+
+    Returns
+    -------
+    tuple
+        The new state and what the entry did.
+    """
+    if entry.offset < state.next_offset:
+        return state, Ignored(IgnoredReason.ALREADY_APPLIED)
+    if entry.offset > state.next_offset:
+        return state, Ignored(IgnoredReason.GAP)
+    if state.first_written_ms is None:
+        state = attrs.evolve(state, first_written_ms=entry.record.written_ms)
+    if state.complete:
+        return _apply_complete(state, entry, is_valid_document)
+    return _apply_incomplete(state, entry, is_valid_document)
+
+
+def _apply_complete(
+    state: ControlState, entry: LogEntry, is_valid_document: DocumentCheck
+) -> tuple[ControlState, Applied]:
+    record = entry.record
+    state = attrs.evolve(state, next_offset=entry.offset + 1)
+    if record.kind == UNREADABLE_KIND:
+        return state, Malformed(str(record.body.get("detail", "")))
+    if record.record_id in state.seen:
+        return state, Ignored(IgnoredReason.REPEATED)
+    state = attrs.evolve(state, seen=_remember(state.seen, entry))
+    match read_body(record):
+        case Err(failure):
+            return state, Malformed(failure.detail)
+        case Ok(None):
+            return state, Ignored(IgnoredReason.UNKNOWN_KIND)
+        case Ok(body) if body is not None:
+            return _apply_body(state, entry, body, is_valid_document)
+    raise AssertionError("A result is either Ok or Err.")
+
+
+def _apply_body(
+    state: ControlState,
+    entry: LogEntry,
+    body: ControlBody,
+    is_valid_document: DocumentCheck,
+) -> tuple[ControlState, Applied]:
+    match body:
+        case PublishBody():
+            return _publish(state, entry, body, is_valid_document)
+        case LeaseBody():
+            return _take_lease(state, entry, body)
+        case ReleaseLeaseBody():
+            return _release_lease(state, entry, body)
+        case VerdictBody():
+            return _agree_verdict(state, entry, body)
+        case CheckpointBody():
+            state, applied, _ = _collect_part(state, entry, body)
+            return state, applied
+
+
+def _remember(seen: Mapping[str, int], entry: LogEntry) -> dict[str, int]:
+    kept = dict(seen)
+    kept[entry.record.record_id] = entry.offset
+    while len(kept) > SEEN_WINDOW_RECORDS:
+        del kept[next(iter(kept))]
+    return kept
+
+
+def _publish(
+    state: ControlState,
+    entry: LogEntry,
+    body: PublishBody,
+    is_valid_document: DocumentCheck,
+) -> tuple[ControlState, Applied]:
+    if entry.offset == 0:
+        # Revision 0 means that a service has no document.
+        return state, Ignored(IgnoredReason.RESERVED_OFFSET)
+    current = state.services.get(body.service)
+    if body.base_revision != (current.revision if current else 0):
+        return state, _conflict(current, "author", "revision")
+    if not is_valid_document(body.document):
+        return state, Malformed(f"The document of {body.service} is invalid.")
+    published = Published(
+        service=body.service,
+        revision=entry.offset,
+        document=body.document,
+        author=body.author,
+        written_ms=entry.record.written_ms,
+    )
+    # Verdicts on earlier revisions never apply again.
+    verdicts = {
+        key: verdict
+        for key, verdict in state.verdicts.items()
+        if key.service != body.service
+    }
+    services = {**state.services, body.service: published}
+    state = attrs.evolve(state, services=services, verdicts=verdicts)
+    return state, Accepted(entry.offset)
+
+
+def _take_lease(
+    state: ControlState, entry: LogEntry, body: LeaseBody
+) -> tuple[ControlState, Applied]:
+    if body.holder != entry.record.writer:
+        return state, Malformed(f"Only {body.holder} may take a lease for itself.")
+    if entry.offset == 0:
+        # Fencing number 0 means that nobody has held the lease.
+        return state, Ignored(IgnoredReason.RESERVED_OFFSET)
+    current = state.leases.get(body.name)
+    if body.base_fencing != (current.fencing if current else 0):
+        return state, _conflict(current, "holder", "fencing")
+    lease = Lease(
+        name=body.name,
+        holder=body.holder,
+        incarnation=entry.record.incarnation,
+        fencing=entry.offset,
+        duration_ms=body.duration_ms,
+    )
+    state = attrs.evolve(state, leases={**state.leases, body.name: lease})
+    return state, Accepted(entry.offset)
+
+
+def _release_lease(
+    state: ControlState, entry: LogEntry, body: ReleaseLeaseBody
+) -> tuple[ControlState, Applied]:
+    current = state.leases.get(body.name)
+    writer = (entry.record.writer, entry.record.incarnation)
+    if current is None or (current.holder, current.incarnation) != writer:
+        return state, _conflict(current, "holder", "fencing")
+    if current.fencing != body.fencing or current.released:
+        return state, Ignored(IgnoredReason.OUTDATED)
+    released = attrs.evolve(current, released=True)
+    state = attrs.evolve(state, leases={**state.leases, body.name: released})
+    return state, Accepted(entry.offset)
+
+
+def _agree_verdict(
+    state: ControlState, entry: LogEntry, body: VerdictBody
+) -> tuple[ControlState, Applied]:
+    current = state.services.get(body.service)
+    if current is None or current.revision != body.revision:
+        return state, Ignored(IgnoredReason.OUTDATED)
+    key = VerdictKey(body.service, body.revision, body.version)
+    earlier = state.verdicts.get(key)
+    if earlier is not None and (
+        earlier.verdict is body.verdict or earlier.verdict is VerdictKind.WITHDRAWN
+    ):
+        return state, Ignored(IgnoredReason.OUTDATED)
+    agreed = AgreedVerdict(body.verdict, body.reason, entry.offset)
+    state = attrs.evolve(state, verdicts={**state.verdicts, key: agreed})
+    return state, Accepted(entry.offset)
+
+
+def _conflict(current: Any, author: str, offset: str) -> Conflict:
+    if current is None:
+        return Conflict(winner_offset=0, winner_author="")
+    return Conflict(getattr(current, offset), getattr(current, author))
+
+
+def _collect_part(
+    state: ControlState, entry: LogEntry, body: CheckpointBody
+) -> tuple[ControlState, Applied, ControlState | None]:
+    """Add a part; return the state in the checkpoint once all parts are there."""
+    if body.upto_offset >= entry.offset:
+        return state, Malformed("A checkpoint covers entries after itself."), None
+    known = state.partial.get(body.checkpoint_id) or PartialCheckpoint(
+        entry.record.written_ms, {}
+    )
+    for other in known.parts.values():
+        if (other.parts, other.upto_offset, other.digest) != (
+            body.parts,
+            body.upto_offset,
+            body.digest,
+        ):
+            return state, Malformed("The parts of a checkpoint differ."), None
+    known = attrs.evolve(known, parts={**known.parts, body.part: body})
+    partial = {**state.partial, body.checkpoint_id: known}
+    while len(partial) > MAX_PARTIAL_CHECKPOINTS:
+        del partial[next(iter(partial))]
+    applied: Applied = Ignored(IgnoredReason.CHECKPOINT_PART)
+    if len(known.parts) < body.parts:
+        return attrs.evolve(state, partial=partial), applied, None
+    partial.pop(body.checkpoint_id, None)
+    state = attrs.evolve(state, partial=partial)
+    text = "".join(known.parts[index].state for index in range(body.parts))
+    if hashlib.sha256(text.encode()).hexdigest() != body.digest:
+        return state, Malformed("The digest of a checkpoint is wrong."), None
+    match read_state(text, f"checkpoint {body.checkpoint_id}"):
+        case Ok(restored) if restored.next_offset == body.upto_offset + 1:
+            newest = state.checkpoint.upto_offset if state.checkpoint else -2
+            if body.upto_offset > newest:
+                mark = CheckpointMark(body.upto_offset, known.written_ms)
+                state = attrs.evolve(state, checkpoint=mark)
+            return state, Accepted(entry.offset), restored
+        case Err(failure):
+            return state, Malformed(failure.detail), None
+    return state, Malformed("A checkpoint covers another range."), None
+
+
+def _apply_incomplete(
+    state: ControlState, entry: LogEntry, is_valid_document: DocumentCheck
+) -> tuple[ControlState, Applied]:
+    state = attrs.evolve(
+        state,
+        next_offset=entry.offset + 1,
+        buffer=Buffer(entry, state.buffer),
+    )
+    buffered = Ignored(IgnoredReason.BUFFERED)
+    match read_body(entry.record):
+        case Err(failure):
+            return state, Malformed(failure.detail)
+        case Ok(CheckpointBody() as body):
+            state, applied, restored = _collect_part(state, entry, body)
+            if restored is None or restored.next_offset < state.first_offset:
+                return state, applied if isinstance(applied, Malformed) else buffered
+            return _adopt(state, restored, is_valid_document), applied
+    return state, buffered
+
+
+def _adopt(
+    state: ControlState, restored: ControlState, is_valid_document: DocumentCheck
+) -> ControlState:
+    """Continue from a checkpoint with the buffered entries that it does not cover."""
+    later: list[LogEntry] = []
+    node = state.buffer
+    while node is not None and node.entry.offset >= restored.next_offset:
+        later.append(node.entry)
+        node = node.older
+    adopted = attrs.evolve(
+        restored,
+        first_offset=state.first_offset,
+        first_written_ms=state.first_written_ms,
+    )
+    for entry in reversed(later):
+        adopted, _ = _apply_complete(adopted, entry, is_valid_document)
+    return attrs.evolve(adopted, checkpoint=state.checkpoint, partial=state.partial)
