Add the gossip map, failure detector, duty assignment and exchange

Cause: daemons need one view of members without a leader or a mesh. Ruled out: verdicts of death in the gossip (a healed partition would have to retract them); a digest of every item in each frame (traffic grows with the fleet). A cursor for each stream and a note of what the peer sent replace it.

--- a/libs/membership/src/waxwingbarrow/membership/__init__.py
+++ b/libs/membership/src/waxwingbarrow/membership/__init__.py
@@ -1,1 +1,57 @@
-"""Gossip map, failure detection and duty assignment."""
+"""Gossip map, failure detection, duty assignment and the choice of peers."""
+
+from waxwingbarrow.membership._assignment import assign, choose_peers
+from waxwingbarrow.membership._detector import (
+    DetectorSettings,
+    FailureDetector,
+    HeartbeatRecord,
+    Liveness,
+)
+from waxwingbarrow.membership._exchange import (
+    Batch,
+    BatchInvalid,
+    Exchange,
+    ExchangeSettings,
+    HeartbeatName,
+)
+from waxwingbarrow.membership._gossip import (
+    Changes,
+    GossipEntry,
+    GossipItem,
+    GossipLimits,
+    GossipMap,
+)
+from waxwingbarrow.membership._member import (
+    MEMBER_TOPIC,
+    Member,
+    MemberStatus,
+    read_member,
+    write_member,
+)
+from waxwingbarrow.membership._roster import MemberView, Roster
+
+__all__ = [
+    "MEMBER_TOPIC",
+    "Batch",
+    "BatchInvalid",
+    "Changes",
+    "DetectorSettings",
+    "Exchange",
+    "ExchangeSettings",
+    "FailureDetector",
+    "GossipEntry",
+    "GossipItem",
+    "GossipLimits",
+    "GossipMap",
+    "HeartbeatName",
+    "HeartbeatRecord",
+    "Liveness",
+    "Member",
+    "MemberStatus",
+    "MemberView",
+    "Roster",
+    "assign",
+    "choose_peers",
+    "read_member",
+    "write_member",
+]
