--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,6 @@
 promises: setup
 	$(RUN)/python -m waxwingbarrow.bench.promises
 
+# No generated stubs: they would reject a malformed frame before it can be reported.
 proto: setup
-	$(RUN)/python -m grpc_tools.protoc --proto_path=libs/peers/src --python_out=libs/peers/src --pyi_out=libs/peers/src --grpc_python_out=libs/peers/src waxwingbarrow/peers/_peer.proto
+	$(RUN)/python -m grpc_tools.protoc --proto_path=libs/peers/src --python_out=libs/peers/src --pyi_out=libs/peers/src waxwingbarrow/peers/_peer.proto
