--- a/libs/document/src/waxwingbarrow/document/_fields.py
+++ b/libs/document/src/waxwingbarrow/document/_fields.py
@@ -1,6 +1,7 @@
 """Attribute definitions that carry their check, JSON Schema and description."""
 
 import datetime
+import functools
 import re
 from collections.abc import Iterator
 from typing import Any
@@ -82,6 +83,7 @@
     )
 
 
+@functools.lru_cache(maxsize=1024)  # a rollout's times are read for each decision
 def parse_instant_ms(value: str) -> int:
     """Return the milliseconds since the Unix epoch of an RFC 3339 time.
 
