Test that a repeated append is not told as a conflict

Cause: a trial that removed the check for repeated record ids passed all state tests, because a repeat changes nothing either way; only its result differs. Ruled out: a larger window of record ids. A repeat outside it is harmless. Conclusion: an operator whose publication was accepted is not told of a conflict.

--- a/libs/state/src/waxwingbarrow/state/_state.py
+++ b/libs/state/src/waxwingbarrow/state/_state.py
@@ -176,6 +176,11 @@
     first_offset : int
         First offset that the log can still supply. If it is not 0, the state is
         incomplete until a checkpoint has been read.
+
+    Notes
+    -----
+    A reader whose next entry has expired from the log starts again here. Its old state
+    stays in force until the new one is complete.
     """
     return ControlState(
         next_offset=first_offset,
--- a/libs/state/tests/test_fold.py
+++ b/libs/state/tests/test_fold.py
@@ -192,6 +192,23 @@
     assert results == [Ignored(IgnoredReason.GAP)]
 
 
+@pytest.mark.parametrize("body", [publish(0), lease(0)])
+def test_repeated_append_is_not_reported_as_a_conflict(body):
+    """Guards against a conflict told to the very operator who won."""
+    entries = entries_of([body])
+    records = [*entries, LogEntry(2, entries[1].record)]
+    state, results = fold(records)
+    assert results[1:] == [Accepted(1), Ignored(IgnoredReason.REPEATED)]
+    # Long after, the repeated record is no longer recognised but still changes nothing.
+    fillers = [
+        LogEntry(offset, make_control_record(f"f{offset}", FILLER, ANNA, NOW))
+        for offset in range(3, 1_500)
+    ]
+    later, _ = fold([*fillers, LogEntry(1_500, entries[1].record)], state)
+    assert (later.services, later.leases) == (state.services, state.leases)
+    assert len(later.seen) == 1_024
+
+
 def test_unknown_kind_and_unreadable_record_are_passed_over():
     known = write_record(make_control_record("r", FILLER, ANNA, NOW))
     entries = [
