Admit requests by account share, fair queue and deadline

Cause: without early refusal a host above its capacity completes requests only after their deadlines, and one flooding account delays all others.

--- a/libs/limits/src/waxwingbarrow/limits/__init__.py
+++ b/libs/limits/src/waxwingbarrow/limits/__init__.py
@@ -1,1 +1,36 @@
 """Account limits, fair queueing and admission."""
+
+from waxwingbarrow.limits._admission import (
+    AccountLimit,
+    Admission,
+    AdmissionController,
+    AdmissionPolicy,
+    AdmissionRequest,
+    Progress,
+    RefusedAdmission,
+)
+from waxwingbarrow.limits._buckets import TokenBucket
+from waxwingbarrow.limits._demand import AccountDemand, DemandMeter
+from waxwingbarrow.limits._estimates import Estimate, check_deadline
+from waxwingbarrow.limits._queue import FairQueue, QueueItem
+from waxwingbarrow.limits._shares import PeerDemand, SharePolicy, compute_share
+
+__all__ = [
+    "AccountDemand",
+    "AccountLimit",
+    "Admission",
+    "AdmissionController",
+    "AdmissionPolicy",
+    "AdmissionRequest",
+    "DemandMeter",
+    "Estimate",
+    "FairQueue",
+    "PeerDemand",
+    "Progress",
+    "QueueItem",
+    "RefusedAdmission",
+    "SharePolicy",
+    "TokenBucket",
+    "check_deadline",
+    "compute_share",
+]
--- /dev/null
+++ b/libs/limits/src/waxwingbarrow/limits/_buckets.py
@@ -0,0 +1,69 @@
+"""Token bucket for a rate limit."""
+
+from result import Err, Ok, Result
+
+from waxwingbarrow.core import Instant, RateLimited
+
+
+class TokenBucket:
+    """Allows a rate and, after a pause, a burst.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Amount added per second.
+    burst_s : float
+        Seconds of the rate that a full bucket holds.
+    now : Instant
+        Present time; the bucket starts full.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(10.0, 1.0, Instant(0, 0))
+    >>> bucket.try_take(10, Instant(0, 0)).is_ok()
+    True
+    >>> bucket.try_take(5, Instant(0, 0)).err().retry_after_s
+    0.5
+    """
+
+    def __init__(self, rate_per_s: float, burst_s: float, now: Instant) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst_s = burst_s
+        self._level = rate_per_s * burst_s
+        self._updated_ms = now.mono_ms
+
+    def try_take(self, amount: float, now: Instant) -> Result[None, RateLimited]:
+        """Take an amount, or tell after how many seconds it will be there.
+
+        An amount above the burst is taken from a full bucket and leaves a debt;
+        otherwise it could never be taken at all.
+        """
+        self._refill(now)
+        needed = min(amount, self._rate_per_s * self._burst_s)
+        # A level that was refilled to the needed amount may miss it by rounding.
+        if self._rate_per_s > 0 and self._level >= needed - 1e-9 * needed:
+            self._level -= amount
+            return Ok(None)
+        retry_after_s = None
+        if self._rate_per_s > 0:
+            retry_after_s = (needed - self._level) / self._rate_per_s
+        return Err(RateLimited(retry_after_s=retry_after_s))
+
+    def settle(self, difference: float, now: Instant) -> None:
+        """Return what was taken in excess, or with a negative value charge more."""
+        self._refill(now)
+        self._level = min(self._level + difference, self._rate_per_s * self._burst_s)
+
+    def set_rate(self, rate_per_s: float, now: Instant) -> None:
+        """Change the rate; the content is kept up to the new burst."""
+        self._refill(now)
+        self._rate_per_s = rate_per_s
+        self._level = min(self._level, rate_per_s * self._burst_s)
+
+    def _refill(self, now: Instant) -> None:
+        elapsed_ms = max(now.mono_ms - self._updated_ms, 0)
+        self._updated_ms = max(now.mono_ms, self._updated_ms)
+        self._level = min(
+            self._level + self._rate_per_s * elapsed_ms / 1000,
+            self._rate_per_s * self._burst_s,
+        )
--- /dev/null
+++ b/libs/limits/tests/test_admission.py
@@ -0,0 +1,188 @@
+"""Guards against work admitted in vain and refusals that are not true."""
+
+import pytest
+from result import Err, Ok
+
+from waxwingbarrow.core import (
+    AccountId,
+    ClassNotAllowed,
+    DeadlineTooShort,
+    Instant,
+    Outcome,
+    Overloaded,
+    PriorityClass,
+    RateLimited,
+)
+from waxwingbarrow.limits import (
+    AccountLimit,
+    AdmissionController,
+    AdmissionPolicy,
+    AdmissionRequest,
+    Estimate,
+    check_deadline,
+)
+
+INTERACTIVE, STANDARD, BATCH = PriorityClass
+ONE, TWO = AccountId("one"), AccountId("two")
+POLICY = AdmissionPolicy(burst_s=1.0)
+
+
+def at(mono_ms):
+    return Instant(0, mono_ms)
+
+
+def make_request(account=ONE, tokens=100, deadline_ms=10_000, kind=STANDARD):
+    return AdmissionRequest(
+        account=account, priority_class=kind, tokens=tokens, deadline=at(deadline_ms)
+    )
+
+
+def make_controller(max_running=1, tokens_per_s=1_000.0, rate=10_000.0, policy=POLICY):
+    controller = AdmissionController(max_running, tokens_per_s, policy)
+    limits = [
+        AccountLimit(
+            account=name,
+            tokens_per_s=rate,
+            requests_per_s=100,
+            classes=frozenset({INTERACTIVE, STANDARD}),
+        )
+        for name in (ONE, TWO)
+    ]
+    controller.set_shares(limits, at(0))
+    return controller
+
+
+# One place that is taken; 1 ms per token.
+REFUSALS = {
+    "account without a share": (make_request(AccountId("x")), RateLimited),
+    "class not granted": (make_request(kind=BATCH), ClassNotAllowed),
+    "above the rate": (make_request(tokens=9_950, deadline_ms=10**6), RateLimited),
+    "deadline already past": (make_request(deadline_ms=-1), DeadlineTooShort),
+    "deadline shorter than the run": (make_request(deadline_ms=99), DeadlineTooShort),
+    "deadline shorter than the wait": (make_request(deadline_ms=199), DeadlineTooShort),
+}
+
+
+@pytest.mark.parametrize("name", REFUSALS)
+def test_refusal_says_not_run_and_leaves_nothing_behind(name):
+    request, kind = REFUSALS[name]
+    controller = make_controller()
+    running = controller.admit(make_request(), at(0)).ok_value
+    result = controller.admit(request, at(0))
+    assert isinstance(result, Err)
+    assert type(result.err_value) is kind
+    assert result.err_value.outcome is Outcome.NOT_RUN
+    controller.finish(running, 100, at(100))
+    progress = controller.next_ready(at(100))
+    assert (progress.ready, progress.refused) == ((), ())
+    # What the refused request had taken from the account's buckets is returned.
+    assert controller.admit(make_request(tokens=9_900), at(100)).is_ok()
+
+
+def test_request_waits_for_a_place_and_is_returned_when_it_is_free():
+    controller = make_controller()
+    first = controller.admit(make_request(), at(0)).ok_value
+    second = controller.admit(make_request(TWO), at(0)).ok_value
+    assert (first.ready, second.ready) == (True, False)
+    assert controller.next_ready(at(50)).ready == ()
+    controller.finish(first, 100, at(100))
+    ready = controller.next_ready(at(100)).ready
+    assert [item.admission_id for item in ready] == [second.admission_id]
+    controller.finish(first, 100, at(100))  # a repeated call frees no second place
+    assert not controller.admit(make_request(), at(100)).ok_value.ready
+
+
+def test_newcomer_does_not_overtake_those_who_wait():
+    controller = make_controller()
+    first = controller.admit(make_request(), at(0)).ok_value
+    controller.admit(make_request(TWO), at(0))
+    controller.finish(first, 100, at(100))
+    assert not controller.admit(make_request(), at(100)).ok_value.ready
+
+
+def test_hopeless_waiting_request_is_refused_as_not_run():
+    controller = make_controller()
+    running = controller.admit(make_request(), at(0)).ok_value
+    waiting = controller.admit(make_request(TWO, deadline_ms=300), at(0)).ok_value
+    (refused,) = controller.next_ready(at(250)).refused
+    assert refused.admission.admission_id == waiting.admission_id
+    assert refused.refusal.outcome is Outcome.NOT_RUN
+    controller.finish(running, 100, at(260))
+    assert controller.next_ready(at(260)).ready == ()
+
+
+def test_caller_that_gives_up_frees_its_place_in_the_queue():
+    controller = make_controller()
+    running = controller.admit(make_request(), at(0)).ok_value
+    waiting = controller.admit(make_request(TWO), at(0)).ok_value
+    controller.finish(waiting, 0, at(10))
+    controller.finish(running, 100, at(100))
+    assert controller.next_ready(at(100)).ready == ()
+
+
+def test_account_is_charged_what_it_used():
+    controller = make_controller(max_running=4, tokens_per_s=10**6, rate=1_000.0)
+    admission = controller.admit(make_request(tokens=1_000), at(0)).ok_value
+    assert controller.admit(make_request(tokens=1), at(0)).is_err()
+    controller.finish(admission, 100, at(1))
+    assert controller.admit(make_request(tokens=900), at(1)).is_ok()
+    assert controller.admit(make_request(tokens=100), at(1)).is_err()
+
+
+def test_full_queue_refuses():
+    controller = make_controller(policy=AdmissionPolicy(max_queue_s=0.5))
+    results = [
+        controller.admit(make_request(deadline_ms=10**6), at(0)) for _ in range(5)
+    ]
+    assert isinstance(results[-1], Err)
+    assert isinstance(results[-1].err_value, Overloaded)
+
+
+def test_demand_includes_what_was_refused():
+    controller = make_controller(rate=1.0)
+    for _ in range(10):
+        controller.admit(make_request(), at(0))
+    (demand,) = controller.demand(at(0))
+    assert (demand.account, demand.tokens_per_s) == (ONE, pytest.approx(200))
+    assert demand.requests_per_s == pytest.approx(2)
+
+
+def test_removed_account_is_refused_and_not_gossiped():
+    controller = make_controller()
+    running = controller.admit(make_request(), at(0)).ok_value
+    controller.set_shares([], at(1))
+    assert controller.admit(make_request(), at(1)).is_err()
+    assert controller.demand(at(1)) == ()
+    controller.finish(running, 100, at(2))
+
+
+def test_pace_measured_in_a_slow_time_does_not_refuse_for_ever():
+    controller = make_controller(max_running=8, tokens_per_s=8_000)
+    for number in range(200):
+        start_ms = number * 10_000
+        request = make_request(deadline_ms=start_ms + 500)
+        result = controller.admit(request, at(start_ms))
+        if isinstance(result, Ok):
+            took_ms = 5_000 if number < 50 else 100
+            controller.finish(result.ok_value, 100, at(start_ms + took_ms))
+    estimate = controller.estimate(make_request(), at(2_000_000))
+    assert estimate.run_ms < 200
+
+
+ESTIMATES = [
+    # (wait, run, time left, accepted, retry is useful)
+    (0, 100, 100, True, None),
+    (50, 100, 149, False, True),
+    (0, 100, 99, False, False),
+    (0, 0, -1, False, False),
+    (float("inf"), 10, 100, False, True),
+]
+
+
+@pytest.mark.parametrize(("wait", "run", "left", "accepted", "retry"), ESTIMATES)
+def test_deadline_check(wait, run, left, accepted, retry):
+    request = make_request(deadline_ms=left)
+    result = check_deadline(Estimate(wait, run), request, at(0))
+    assert result.is_ok() is accepted
+    if isinstance(result, Err):
+        assert (result.err_value.retry_after_s is not None) is retry
