--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON ?= python3.11
-LIBS := core document state claims membership routing limits rollout streams platform upstreams peers daemon cli standins bench
+LIBS := core document state claims membership routing limits capacity rollout streams platform upstreams peers daemon cli standins bench
 RUN := $(VENV)/bin
 export PYTHONPATH := $(subst $(eval) ,:,$(foreach lib,$(LIBS),$(CURDIR)/libs/$(lib)/src))
 STAMP := $(VENV)/.installed
--- /dev/null
+++ b/libs/capacity/src/waxwingbarrow/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of hosts, weight loads and fenced orders."""
