Refuse more malformed input and decide a rollout in one assessment

Cause: core.read_json raises KeyError for an object in place of a list, takes text for a list of characters, and raises RecursionError for deep nesting; a gossiped count above a float's range would stop the rollout decision. Share and verdict each assessed the evidence. Before: a document with "accounts": {"a": 1} raised KeyError. After: 12 odd values in every place of two documents give a document or a typed error.

--- a/libs/bench/src/waxwingbarrow/bench/_rollouts.py
+++ b/libs/bench/src/waxwingbarrow/bench/_rollouts.py
@@ -26,10 +26,8 @@
     Share,
     Withdrawals,
     Withdrawn,
-    compute_share,
-    decide_verdict,
+    decide_rollout,
     encode_evidence,
-    make_withdrawal,
     pick_version,
 )
 
@@ -144,7 +142,6 @@
         self.outcome = "running"
         self._document = document
         self._evidence = Evidence()
-        self._withdrawals = Withdrawals()
         self._recorders = [
             EvidenceRecorder(
                 EvidenceKey(
@@ -166,21 +163,17 @@
 
     def decide(self, now: Instant) -> Share:
         """Decide on the evidence of the previous tick, then merge the newer one."""
-        verdict = decide_verdict(self._document, REVISION, self._evidence, now)
-        match verdict:
+        decision = decide_rollout(
+            self._document, REVISION, self._evidence, None, Withdrawals(), now
+        )
+        match decision.verdict:
             case Withdrawn():
-                entry = make_withdrawal(self._document, REVISION, verdict)
-                if entry is not None:
-                    self._withdrawals = self._withdrawals.add(entry)
                 self.outcome = "withdrawn"
             case Done():
                 self.outcome = "done"
-        share = compute_share(
-            self._document, REVISION, self._evidence, verdict, self._withdrawals, now
-        )
         for recorder in self._recorders:
             self._evidence = self._evidence.add(recorder.snapshot())
-        return share
+        return decision.share
 
     def measure_bytes(self) -> int:
         """Return the size of the largest origin's payload."""
--- a/libs/document/src/waxwingbarrow/document/_reading.py
+++ b/libs/document/src/waxwingbarrow/document/_reading.py
@@ -1,6 +1,7 @@
 """Reading and writing of service documents, with checks across fields."""
 
 import json
+import typing
 from collections.abc import Iterator
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from waxwingbarrow.core import FieldInvalid, read_data, write_data
 from waxwingbarrow.document._document import ServiceDocument, ServiceKind
+from waxwingbarrow.document._fields import list_attributes
 
 MAX_DOCUMENT_BYTES = 1_048_576  # a log record holds the whole document
 
@@ -49,6 +51,8 @@
         return _reject(source, "", "too deeply nested", "the fields of a document")
     except ValueError as error:
         return _reject(source, "", text[:40], f"valid JSON ({error})")
+    for field, value, allowed in _find_non_lists(data, ServiceDocument, ""):
+        return _reject(source, field, value, allowed)
     read = read_data(data, ServiceDocument, source)
     if isinstance(read, Err):
         failure = read.err_value
@@ -85,6 +89,27 @@
 Conflict = tuple[str, object, str]  # field, value, what is allowed
 
 
+def _find_non_lists(data: Any, kind: type, path: str) -> Iterator[Conflict]:
+    """Find a text or an object in place of a list.
+
+    The converter takes any iterable for a list: the characters of a text, or the names
+    of an object's fields. Only the type is named, because the text may be a key.
+    """
+    if not isinstance(data, dict):
+        return
+    for name, attribute in list_attributes(kind):
+        if name not in data or typing.get_origin(attribute.type) is not tuple:
+            continue
+        value, field = data[name], f"{path}{name}"
+        if not isinstance(value, list):
+            yield field, type(value).__name__, "a list"
+            continue
+        item_kind = typing.get_args(attribute.type)[0]
+        if attrs.has(item_kind):
+            for index, item in enumerate(value):
+                yield from _find_non_lists(item, item_kind, f"{field}[{index}].")
+
+
 def _find_conflicts(document: ServiceDocument) -> Iterator[Conflict]:
     yield from _find_repeats(document)
     yield from _find_kind_conflicts(document)
--- a/libs/document/tests/test_document.py
+++ b/libs/document/tests/test_document.py
@@ -1,11 +1,14 @@
 """Guards against documents that are accepted though they cannot be put in force."""
 
 import copy
+import hashlib
 import json
+import re
 from pathlib import Path
 
 import jsonschema
 import pytest
+from result import Err, Ok
 
 from waxwingbarrow.document import (
     Added,
@@ -72,6 +75,8 @@
     ),
     (MODEL, ["accounts", 0, "tokens_per_s"], 0, "accounts[0].tokens_per_s", "model"),
     (PLAIN, ["accounts", 0, "tokens_per_s"], 5, "accounts[0].tokens_per_s", "plain"),
+    (MODEL, ["accounts", 0, "classes"], {"batch": 1}, "accounts[0].classes", "a list"),
+    (MODEL, ["accounts"], {"a": 1}, "accounts", "a list"),
     (MODEL, ["accounts", 0, "classes"], ["fast"], "accounts[0].classes[0]", "batch"),
     (
         MODEL,
@@ -166,6 +171,43 @@
     assert failure.detail.startswith(f"care.json: {field} is ")
 
 
+ODD_VALUES = [
+    None,
+    True,
+    -1,
+    10**400,
+    float("inf"),
+    float("nan"),
+    "",
+    "x" * 2000,
+    [],
+    [[]],
+    {},
+    {"a": 1},
+]
+
+
+def list_paths(data, path=()):
+    """Yield the path of every value inside parsed JSON."""
+    items = data.items() if isinstance(data, dict) else enumerate(data)
+    for step, value in items:
+        yield [*path, step]
+        if isinstance(value, dict | list):
+            yield from list_paths(value, (*path, step))
+
+
+@pytest.mark.parametrize("data", [MODEL, PLAIN], ids=["model", "plain"])
+def test_no_value_in_any_place_raises(data):
+    for path in list_paths(data):
+        for value in ODD_VALUES:
+            text = json.dumps(change_field(data, path, value))
+            match read_document(text):
+                case Ok(document):
+                    assert read_document(to_json(document)).is_ok()
+                case Err(failure):
+                    assert failure.allowed
+
+
 TEXTS = [
     ("", "", "valid JSON"),
     ("[]", "", "an object"),
@@ -195,6 +237,17 @@
     assert read_document(to_json(document)).unwrap() == document
 
 
+def test_example_keys_are_the_documented_test_keys():
+    # A hash of an undocumented key would be a key that nobody can use or revoke.
+    readme = (ROOT / "examples/README.md").read_text()
+    keys = re.findall(r"`(test-key-[a-z-]+)`", readme)
+    hashes = {"sha256:" + hashlib.sha256(key.encode()).hexdigest() for key in keys}
+    for path in EXAMPLES:
+        document = read_document(path.read_text()).unwrap()
+        found = {one for grant in document.accounts for one in grant.key_hashes}
+        assert found <= hashes
+
+
 def test_all_four_examples_are_present():
     assert [path.stem for path in EXAMPLES] == [
         "language-model-pool",
@@ -263,11 +316,17 @@
     assert diff_documents(old, old) == ()
 
 
-@pytest.mark.parametrize("value", ["raw-secret-key", ["raw-secret-key"]])
-def test_key_in_place_of_its_hash_is_not_repeated(value):
+@pytest.mark.parametrize(
+    ("value", "field"),
+    [
+        ("raw-secret-key", "accounts[0].key_hashes"),
+        (["raw-secret-key"], "accounts[0].key_hashes[0]"),
+    ],
+)
+def test_key_in_place_of_its_hash_is_not_repeated(value, field):
     data = change_field(MODEL, ["accounts", 0, "key_hashes"], value)
     failure = read_document(json.dumps(data)).unwrap_err()
-    assert failure.field == "accounts[0].key_hashes[0]"
+    assert failure.field == field
     assert "raw-secret-key" not in repr(failure)
 
 
--- a/libs/rollout/src/waxwingbarrow/rollout/_decision.py
+++ b/libs/rollout/src/waxwingbarrow/rollout/_decision.py
@@ -69,32 +69,23 @@
     reason: str
 
 
-def decide_verdict(
-    document: ServiceDocument, revision: int, evidence: Evidence, now: Instant
-) -> Verdict:
-    """Return the verdict that one host's merged evidence supports.
+@attrs.frozen
+class Decision:
+    """Share and verdict from one assessment of the evidence."""
 
-    A host calls it until the log or a withdrawal decides the rollout, and then follows
-    that decision.
-    """
-    rollout = document.rollout
-    if rollout is None:
-        return Done()
-    if now.wall_ms < rollout.start_ms:
-        return Running("waits for its start")
-    assessment = assess(document, rollout, revision, evidence, now)
-    return _judge(rollout, assessment, now)
+    share: Share
+    verdict: Verdict
 
 
-def compute_share(
+def decide_rollout(
     document: ServiceDocument,
     revision: int,
     evidence: Evidence,
     verdict: Verdict | None,
     withdrawn: Withdrawals,
     now: Instant,
-) -> Share:
-    """Return the share of the new version.
+) -> Decision:
+    """Return the share of the new version and the verdict that it follows from.
 
     Parameters
     ----------
@@ -105,25 +96,53 @@
     """
     rollout = document.rollout
     if rollout is None:
-        return Share(0.0, "no rollout")
+        return Decision(Share(0.0, "no rollout"), Done())
     if isinstance(verdict, Withdrawn):
-        return Share(0.0, verdict.reason)
+        return Decision(Share(0.0, verdict.reason), verdict)
     known = withdrawn.find(document.service, revision, rollout.to_version)
     # A host that was cut off when the rollout was done sees a missed deadline only.
     if known is not None and not (known.by_deadline and isinstance(verdict, Done)):
-        return Share(0.0, known.reason)
+        found = Withdrawn(known.reason, known.at_ms)
+        return Decision(Share(0.0, known.reason), found)
     if isinstance(verdict, Done):
-        return Share(100.0, "done")
+        return Decision(Share(100.0, "done"), verdict)
     if now.wall_ms < rollout.start_ms:
-        return Share(0.0, "waits for its start")
+        reason = "waits for its start"
+        return Decision(Share(0.0, reason), Running(reason))
     assessment = assess(document, rollout, revision, evidence, now)
-    match _judge(rollout, assessment, now):
+    decided = _judge(rollout, assessment, now)
+    match decided:
         case Done():
-            return Share(100.0, "done")
+            share = Share(100.0, "done")
         case Withdrawn(reason=reason):
-            return Share(0.0, reason)
+            share = Share(0.0, reason)
         case Running(reason=reason):
-            return Share(_limit_share(rollout, assessment, now), reason)
+            share = Share(_limit_share(rollout, assessment, now), reason)
+    return Decision(share, decided)
+
+
+def decide_verdict(
+    document: ServiceDocument, revision: int, evidence: Evidence, now: Instant
+) -> Verdict:
+    """Return the verdict that one host's merged evidence supports.
+
+    A host calls it until the log or a withdrawal decides the rollout, and then follows
+    that decision.
+    """
+    nothing = Withdrawals()
+    return decide_rollout(document, revision, evidence, None, nothing, now).verdict
+
+
+def compute_share(
+    document: ServiceDocument,
+    revision: int,
+    evidence: Evidence,
+    verdict: Verdict | None,
+    withdrawn: Withdrawals,
+    now: Instant,
+) -> Share:
+    """Return the share of the new version; see `decide_rollout`."""
+    return decide_rollout(document, revision, evidence, verdict, withdrawn, now).share
 
 
 def make_withdrawal(
--- a/libs/rollout/src/waxwingbarrow/rollout/_wire.py
+++ b/libs/rollout/src/waxwingbarrow/rollout/_wire.py
@@ -1,7 +1,8 @@
 """Compact JSON forms of evidence and withdrawals, as gossip carries them."""
 
 from collections.abc import Iterable
-from itertools import groupby, pairwise
+from itertools import groupby
+from typing import Any, TypeVar
 
 import attrs
 from result import Err, Ok, Result
@@ -27,28 +28,35 @@
 from waxwingbarrow.rollout._schedule import WINDOWS
 from waxwingbarrow.rollout._withdrawals import Withdrawals
 
+T = TypeVar("T")
+MAX_COUNT = 10**12  # the statistic computes with floats, which a larger count overflows
 ROW_HEAD = 4  # window, requests, failures, wrong lengths; then bucket and count pairs
 ROW_ALLOWED = "window, requests, failures, wrong lengths, then pairs of bucket, count"
 
 
-def _check_rows(_: object, attribute: "attrs.Attribute[object]", value: object) -> None:
-    assert isinstance(value, tuple)
+def _check_rows(_: Any, attribute: "attrs.Attribute[Any]", value: Any) -> None:
+    if not isinstance(value, list):
+        raise ValueNotAllowedError(type(value).__name__, "a list", attribute.name)
     for index, row in enumerate(value):
-        if not _is_row(row):
+        if not (isinstance(row, list) and _is_row(row)):
             field = f"{attribute.name}[{index}]"
-            raise ValueNotAllowedError(list(row), ROW_ALLOWED, field)
+            raise ValueNotAllowedError(row, ROW_ALLOWED, field)
 
 
-def _is_row(row: tuple[int, ...]) -> bool:
-    if len(row) < ROW_HEAD or len(row) % 2 or min(row) < 0:
+def _is_row(row: list[Any]) -> bool:
+    if len(row) < ROW_HEAD or len(row) % 2:
+        return False
+    if set(map(type, row)) != {int}:
+        return False
+    if min(row) < 0 or max(row) > MAX_COUNT:
         return False
     window, requests, failures, wrong_lengths = row[:ROW_HEAD]
     buckets, counts = row[ROW_HEAD::2], row[ROW_HEAD + 1 :: 2]
     return (
         window < WINDOWS
         and failures + wrong_lengths + sum(counts) == requests
-        and all(bucket < BUCKETS for bucket in buckets)
-        and all(one < two for one, two in pairwise(buckets))
+        and buckets == sorted(set(buckets))
+        and (not buckets or buckets[-1] < BUCKETS)
     )
 
 
@@ -56,7 +64,9 @@
 class _WireRoute:
     version: VersionName
     route: RouteName
-    rows: tuple[tuple[int, ...], ...] = attrs.field(validator=_check_rows)
+    # Checked by hand: building rows through the converter takes several times as long,
+    # and a host reads the payloads of all others.
+    rows: Any = attrs.field(validator=_check_rows)
 
 
 @attrs.frozen
@@ -85,8 +95,7 @@
 
 def decode_evidence(payload: bytes) -> Result[OriginEvidence, FieldInvalid]:
     """Read a gossip payload; a malformed one is an error and not used in part."""
-    text = payload.decode(errors="replace")
-    read = read_json(text, _WireEvidence, "evidence")
+    read = _read_payload(payload, _WireEvidence, "evidence")
     if isinstance(read, Err):
         return read
     wire = read.ok_value
@@ -106,25 +115,34 @@
 
 def decode_withdrawals(payload: bytes) -> Result[Withdrawals, FieldInvalid]:
     """Read a gossip payload of withdrawals."""
-    return read_json(payload.decode(errors="replace"), Withdrawals, "withdrawals")
+    return _read_payload(payload, Withdrawals, "withdrawals")
+
+
+def _read_payload(
+    payload: bytes, kind: type[T], source: str
+) -> Result[T, FieldInvalid]:
+    try:
+        return read_json(payload.decode(errors="replace"), kind, source)
+    except (LookupError, RecursionError):
+        # read_json raises a KeyError for an object in place of a list.
+        allowed = "JSON of the described form"
+        return Err(FieldInvalid(source=source, field="", value="...", allowed=allowed))
 
 
 def _group_routes(routes: Iterable[RouteEvidence]) -> Iterable[_WireRoute]:
     ordered = sorted(routes, key=lambda item: (item.version, item.route, item.window))
     groups = groupby(ordered, key=lambda item: (item.version, item.route))
     for (version, route), items in groups:
-        yield _WireRoute(version, route, tuple(_write_row(item) for item in items))
+        yield _WireRoute(version, route, [_write_row(item) for item in items])
 
 
-def _write_row(item: RouteEvidence) -> tuple[int, ...]:
-    head = (item.window, item.requests, item.failures, item.wrong_lengths)
+def _write_row(item: RouteEvidence) -> list[int]:
+    head = [item.window, item.requests, item.failures, item.wrong_lengths]
     pairs = ((one.bucket, one.count) for one in item.latency_buckets)
-    return head + tuple(number for pair in pairs for number in pair)
+    return head + [number for pair in pairs for number in pair]
 
 
-def _read_row(
-    version: VersionName, route: RouteName, row: tuple[int, ...]
-) -> RouteEvidence:
+def _read_row(version: VersionName, route: RouteName, row: list[int]) -> RouteEvidence:
     window, requests, failures, wrong_lengths = row[:ROW_HEAD]
     pairs = zip(row[ROW_HEAD::2], row[ROW_HEAD + 1 :: 2], strict=True)
     counts = tuple(LatencyCount(bucket, count) for bucket, count in pairs)
--- a/libs/rollout/tests/test_evidence.py
+++ b/libs/rollout/tests/test_evidence.py
@@ -144,9 +144,21 @@
         (with_row([0, 2, 0, 0, 61, 2]), "routes[0].rows[0]"),
         (with_row([0, 2, 0, 0, 5, 1, 5, 1]), "routes[0].rows[0]"),
         (with_row([0, 5, 0, 0, 5, 1]), "routes[0].rows[0]"),
-        (with_row([0, "1", 0, 0]), "routes[0].rows[0][1]"),
+        (with_row({"a": 1}), "routes[0].rows[0]"),
+        (with_row([0, True, 1, 0]), "routes[0].rows[0]"),
+        (json.dumps({**VALID, "routes": {"a": 1}}).encode(), ""),
+        (with_row([0, 10**13, 10**13, 0]), "routes[0].rows[0]"),
+        (b"[" * 100_000, ""),
+        (with_row([0, "1", 0, 0]), "routes[0].rows[0]"),
     ],
 )
 def test_malformed_evidence_is_a_typed_error(payload, field):
     assert decode_evidence(json.dumps(VALID).encode()).is_ok()
     assert decode_evidence(payload).unwrap_err().field == field
+
+
+@pytest.mark.parametrize(
+    "payload", [b"\xff", b"[" * 100_000, b'{"items": [{}]}', b'{"items": {"a": 1}}']
+)
+def test_malformed_withdrawals_are_a_typed_error(payload):
+    assert decode_withdrawals(payload).is_err()
