--- /dev/null
+++ b/libs/bench/src/waxwingbarrow/bench/_client.py
@@ -0,0 +1,232 @@
+"""Caller that resumes streams and resends bookings through several entry hosts."""
+
+import asyncio
+import json
+import random
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import aiosonic
+import attrs
+import uuid6
+from aiosonic.exceptions import (
+    ConnectTimeout,
+    HttpParsingError,
+    ReadTimeout,
+    RequestTimeout,
+)
+from aiosonic.timeout import Timeouts
+
+CONNECTION_ERRORS = (
+    OSError,
+    EOFError,
+    asyncio.TimeoutError,
+    ConnectTimeout,
+    ReadTimeout,
+    RequestTimeout,
+    HttpParsingError,
+)
+RETRY_PAUSE_S = 0.2
+
+
+@attrs.frozen
+class ServerEvent:
+    """One server-sent event."""
+
+    name: str
+    data: dict[str, Any]
+
+
+@attrs.define
+class ModelResult:
+    """What a caller got for one model request.
+
+    Parameters
+    ----------
+    text : str
+        Text received, in order.
+    complete : bool
+        Whether the announced number of tokens arrived.
+    refusal : dict or None
+        Problem document of the last refusal.
+    resumes : int
+        Number of times that the stream was taken up again.
+    """
+
+    text: str = ""
+    tokens: int = 0
+    complete: bool = False
+    refusal: dict[str, Any] | None = None
+    resumes: int = 0
+
+
+@attrs.define
+class BookingResult:
+    """What a caller got for one non-repeatable request."""
+
+    key: str
+    request_id: str
+    answer: dict[str, Any] | None = None
+    refusal: dict[str, Any] | None = None
+    attempts: int = 0
+
+    @property
+    def outcome(self) -> str:
+        """Outcome as the caller knows it."""
+        if self.answer is not None:
+            return "completed"
+        return (self.refusal or {}).get("outcome", "unknown")
+
+
+async def read_events(response: Any) -> AsyncIterator[ServerEvent]:
+    """Yield the server-sent events of a response."""
+    pending = b""
+    async for chunk in response.read_chunks():
+        pending += chunk
+        while b"\n\n" in pending:
+            block, _, pending = pending.partition(b"\n\n")
+            name, data = "message", "{}"
+            for line in block.decode().splitlines():
+                field, _, value = line.partition(": ")
+                if field == "event":
+                    name = value
+                elif field == "data":
+                    data = value
+            yield ServerEvent(name, json.loads(data))
+
+
+class Caller:
+    """Client of the entry hosts, as one account.
+
+    Parameters
+    ----------
+    hosts : Sequence[str]
+        Base URLs of entry hosts; the caller stands in for the balancer as well.
+    key : str
+        Bearer key.
+    rng : random.Random
+        Chooses the entry host.
+    deadline_s : float
+        Time that the caller is willing to spend on one request.
+    """
+
+    def __init__(
+        self,
+        hosts: Sequence[str],
+        key: str,
+        rng: random.Random,
+        deadline_s: float = 30.0,
+    ) -> None:
+        self._hosts = list(hosts)
+        self._key = key
+        self._rng = rng
+        self._deadline_s = deadline_s
+        self._client = aiosonic.HTTPClient()
+        self._timeouts = Timeouts(
+            sock_connect=1.0, sock_read=deadline_s, request_timeout=deadline_s
+        )
+
+    async def generate(
+        self, service: str, route: str, prompt: str, max_tokens: int
+    ) -> ModelResult:
+        """Send a model request and follow its stream to the end."""
+        result = ModelResult()
+        token: str | None = None
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + self._deadline_s
+        while not result.complete and loop.time() < give_up:
+            if token is None:
+                path = f"/v1/services/{service}/routes/{route}"
+                body: dict[str, Any] = {"prompt": prompt, "max_tokens": max_tokens}
+            else:
+                path = "/v1/streams/resume"
+                body = {
+                    "token": token,
+                    "from_index": result.tokens,
+                    "prompt": prompt,
+                    "text": result.text,
+                }
+                result.resumes += 1
+            try:
+                token = await self._follow(path, body, result, token)
+            except CONNECTION_ERRORS:
+                await asyncio.sleep(RETRY_PAUSE_S)
+        return result
+
+    async def _follow(
+        self, path: str, body: dict[str, Any], result: ModelResult, token: str | None
+    ) -> str | None:
+        response = await self._post(path, body, {})
+        if response.status_code != 200:
+            result.refusal = await response.json()
+            await asyncio.sleep(RETRY_PAUSE_S)
+            # A token that is no longer accepted is given up; the text is kept and
+            # verified against the repeated answer.
+            return None if response.status_code == 403 else token
+        if token is None:
+            result.text, result.tokens = "", 0
+        async for event in read_events(response):
+            match event.name:
+                case "resume" | "handover":
+                    token = event.data["token"]
+                case "token":
+                    if event.data["index"] != result.tokens:
+                        raise OSError("A token is missing or repeated.")
+                    result.text += event.data["text"]
+                    result.tokens += 1
+                case "done":
+                    result.complete = event.data["count"] == result.tokens
+                    return token
+                case "problem":
+                    result.refusal = event.data
+                    await asyncio.sleep(RETRY_PAUSE_S)
+                    return token
+        return token
+
+    async def book(self, service: str, route: str, body: Any) -> BookingResult:
+        """Send a non-repeatable request until its outcome is known."""
+        key = str(uuid6.uuid7())
+        result = BookingResult(key=key, request_id=key)
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + self._deadline_s
+        while loop.time() < give_up:
+            result.attempts += 1
+            headers = {
+                "Idempotency-Key": result.key,
+                "Idempotency-Attempt": str(result.attempts),
+                "Request-Id": result.request_id,
+            }
+            path = f"/v1/services/{service}/routes/{route}"
+            try:
+                response = await self._post(path, body, headers)
+                answer = await response.json()
+            except (*CONNECTION_ERRORS, ValueError):
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if response.status_code == 200:
+                result.answer, result.refusal = answer, None
+                return result
+            result.refusal = answer
+            if answer.get("outcome") == "not_run":
+                return result
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return result
+
+    async def call(self, service: str, route: str, body: Any) -> tuple[int, Any]:
+        """Send one repeatable request to a plain service."""
+        path = f"/v1/services/{service}/routes/{route}"
+        response = await self._post(path, body, {})
+        return response.status_code, await response.json()
+
+    async def _post(self, path: str, body: Any, headers: dict[str, str]) -> Any:
+        url = self._rng.choice(self._hosts) + path
+        return await self._client.post(
+            url,
+            headers={
+                "Authorization": f"Bearer {self._key}",
+                "Content-Type": "application/json",
+                **headers,
+            },
+            data=json.dumps(body),
+            timeouts=self._timeouts,
+        )
--- /dev/null
+++ b/libs/bench/src/waxwingbarrow/bench/demo.py
@@ -0,0 +1,6 @@
+"""Entry point of ``make demo``."""
+
+from waxwingbarrow.bench._demo import main
+
+if __name__ == "__main__":
+    main()
--- a/libs/core/src/waxwingbarrow/core/_reading.py
+++ b/libs/core/src/waxwingbarrow/core/_reading.py
@@ -1,8 +1,10 @@
 """Strict reading of JSON text into attrs classes, with errors that name the field."""
 
+import collections.abc
 import enum
 import json
 import re
+import typing
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -103,15 +105,10 @@
     """
     try:
         data = json.loads(text)
-    except ValueError as error:
-        return Err(
-            FieldInvalid(
-                source=source,
-                field="",
-                value=_shorten(text),
-                allowed=f"valid JSON ({error})",
-            )
-        )
+    except (ValueError, RecursionError) as error:
+        allowed = f"valid JSON ({error})"
+        value = _shorten(text)
+        return Err(FieldInvalid(source=source, field="", value=value, allowed=allowed))
     return read_data(data, kind, source)
 
 
@@ -176,9 +173,17 @@
             kind, converter, _cattrs_forbid_extra_keys=True
         )
 
+        containers: dict[str, tuple[type, str]] = {}
+
         def checked(value: Any, target: Any) -> Any:
             if not isinstance(value, dict):
                 raise ValueNotAllowedError(value, "an object")
+            if not containers:
+                containers.update(_list_containers(kind))
+            # cattrs takes any iterable as a list, such as the characters of a text.
+            for field, (form, allowed) in containers.items():
+                if field in value and not isinstance(value[field], form):
+                    raise ValueNotAllowedError(value[field], allowed, field)
             return structure(value, target)
 
         return checked
@@ -187,6 +192,25 @@
     return converter
 
 
+def _list_containers(kind: type) -> dict[str, tuple[type, str]]:
+    """Return the fields of a class that hold a list or an object of any keys."""
+    found: dict[str, tuple[type, str]] = {"": (object, "")}
+    for name, hint in typing.get_type_hints(kind).items():
+        origin = typing.get_origin(hint)
+        if origin in (tuple, list, set, frozenset, collections.abc.Sequence):
+            found[name] = (list, "a list")
+        elif origin in (dict, collections.abc.Mapping):
+            found[name] = (dict, "an object")
+    return found
+
+
+def _show(value: Any) -> str:
+    try:
+        return _shorten(json.dumps(value))
+    except RecursionError:
+        return "a deeply nested value"
+
+
 def _locate(error: Exception, data: Any, source: str, path: str) -> FieldInvalid:
     """Descend into nested cattrs errors to the first field that is wrong."""
     if isinstance(error, cattrs.BaseValidationError):
@@ -212,7 +236,7 @@
     return FieldInvalid(
         source=source,
         field=field,
-        value="missing" if isinstance(error, KeyError) else _shorten(json.dumps(value)),
+        value="missing" if isinstance(error, KeyError) else _show(value),
         allowed=allowed,
     )
 
--- a/libs/core/tests/test_reading.py
+++ b/libs/core/tests/test_reading.py
@@ -42,6 +42,10 @@
     ('{"name": "a", "inners": [{"account": 1}]}', "inners[0].account", "text"),
     ('{"name": "a", "inners": [{}]}', "inners[0].account", "required"),
     ('{"name": "a", "inners": [1]}', "inners[0]", "an object"),
+    ('{"name": "a", "inners": {"0": {"account": "x"}}}', "inners", "a list"),
+    ('{"name": "a", "inners": "xy"}', "inners", "a list"),
+    ("[" * 5_000, "", "valid JSON"),
+    ('{"name": ' + "[" * 900 + "]" * 900 + "}", "name", "text"),
     (
         '{"name": "a", "only": {"account": "x", "rate_per_s": 11}}',
         "only.rate_per_s",
--- /dev/null
+++ b/libs/daemon/src/waxwingbarrow/daemon/_calls.py
@@ -0,0 +1,188 @@
+"""Requests to plain services."""
+
+import asyncio
+import uuid
+
+import attrs
+from result import Err, Ok, Result
+
+from waxwingbarrow.core import (
+    Clock,
+    Instant,
+    NoUpstream,
+    Outcome,
+    Refusal,
+    UpstreamFailed,
+    UpstreamId,
+)
+from waxwingbarrow.daemon._bookings import (
+    Completed,
+    NeverSent,
+    ResponseLost,
+    SendResult,
+)
+from waxwingbarrow.daemon._control import Configuration
+from waxwingbarrow.daemon._dispatch import Attempt, Dispatcher, make_address
+from waxwingbarrow.daemon._requests import CallerRequest
+from waxwingbarrow.rollout import ResponseQuality
+from waxwingbarrow.upstreams import (
+    NotSent,
+    PlainAnswer,
+    PlainCall,
+    ServiceClient,
+    UpstreamFailure,
+)
+
+RETRY_PAUSE_S = 0.05
+
+
+@attrs.frozen
+class _Sent:
+    """One attempt and its result."""
+
+    attempt: Attempt
+    result: Result[PlainAnswer, UpstreamFailure]
+
+
+class Calls:
+    """Sends requests to plain services, with retries where they are harmless.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Chooses the upstream of each attempt.
+    client : ServiceClient
+        Connections to upstreams.
+    clock : Clock
+        Source of the present time.
+    max_attempts : int
+        Attempts at one request, the first included.
+    timeout_ms : int
+        Limit of one attempt.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        client: ServiceClient,
+        clock: Clock,
+        max_attempts: int,
+        timeout_ms: int,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._clock = clock
+        self._max_attempts = max_attempts
+        self._timeout_ms = timeout_ms
+
+    async def call(
+        self, configuration: Configuration, request: CallerRequest
+    ) -> Result[Completed, Refusal]:
+        """Send a repeatable request until an upstream answers it."""
+        self._dispatcher.budget.record_request(self._clock.now())
+        excluded: set[UpstreamId] = set()
+        maybe_sent = False
+        refusal: Refusal = UpstreamFailed(reason="No attempt succeeded.")
+        for number in range(1, self._max_attempts + 1):
+            now = self._clock.now()
+            if number > 1 and not self._dispatcher.budget.try_spend(now):
+                break
+            sent = await self._attempt(configuration, request, excluded)
+            if isinstance(sent, Err):
+                refusal = sent.err_value
+                break
+            match sent.ok_value.result:
+                case Ok(answer) if answer.status < 500:
+                    return Ok(_complete(answer))
+                case Ok(answer):
+                    maybe_sent = True
+                    if number == self._max_attempts:
+                        return Ok(_complete(answer))
+                case Err(failure):
+                    maybe_sent = maybe_sent or not isinstance(failure, NotSent)
+                    refusal = UpstreamFailed(reason=failure.detail)
+            excluded.add(sent.ok_value.attempt.upstream)
+            await asyncio.sleep(RETRY_PAUSE_S)
+        if maybe_sent and refusal.outcome is Outcome.NOT_RUN:
+            refusal = UpstreamFailed(reason=refusal.detail)
+        return Err(refusal)
+
+    async def send_once(
+        self, configuration: Configuration, request: CallerRequest
+    ) -> SendResult:
+        """Send a non-repeatable request to at most one upstream.
+
+        Another upstream is tried only after a failure that certainly precedes the
+        first byte.
+        """
+        excluded: set[UpstreamId] = set()
+        refusal: Refusal = NoUpstream(reason="No upstream accepted a connection.")
+        for _ in range(self._max_attempts):
+            sent = await self._attempt(configuration, request, excluded)
+            if isinstance(sent, Err):
+                refusal = sent.err_value
+                break
+            match sent.ok_value.result:
+                case Ok(answer):
+                    return _complete(answer)
+                case Err(NotSent() as failure):
+                    refusal = NoUpstream(reason=failure.detail)
+                    excluded.add(sent.ok_value.attempt.upstream)
+                case Err(failure):
+                    return ResponseLost(failure.detail)
+        return NeverSent(refusal)
+
+    async def _attempt(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        excluded: set[UpstreamId],
+    ) -> Result[_Sent, Refusal]:
+        now = self._clock.now()
+        version = self._dispatcher.pick_version(configuration, request, now)
+        if excluded:
+            version = self._dispatcher.choose_fallback(configuration, version, now)
+        chosen = self._dispatcher.choose(request, "", 0, version, excluded, now)
+        if isinstance(chosen, Err):
+            return Err(chosen.err_value)
+        attempt = chosen.ok_value
+        result = await self._call(request, attempt, now)
+        self._note(configuration, request, attempt, result)
+        return Ok(_Sent(attempt, result))
+
+    async def _call(
+        self, request: CallerRequest, attempt: Attempt, now: Instant
+    ) -> Result[PlainAnswer, UpstreamFailure]:
+        left_ms = max(1, request.deadline_mono_ms - now.mono_ms)
+        call = PlainCall(
+            operation=request.route.route,
+            request_id=request.request_id,
+            attempt_id=str(uuid.uuid4()),
+            body=request.body,
+        )
+        address = make_address(attempt.choice.view)
+        return await self._client.call(address, call, min(left_ms, self._timeout_ms))
+
+    def _note(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        attempt: Attempt,
+        result: Result[PlainAnswer, UpstreamFailure],
+    ) -> None:
+        now = self._clock.now()
+        quality, detail = ResponseQuality.FAILED, ""
+        match result:
+            case Ok(answer):
+                if answer.status < 500:
+                    quality = ResponseQuality.COMPLETE
+                detail = f"status {answer.status}"
+                if answer.leaving:
+                    self._dispatcher.note_leaving(attempt.choice.view)
+            case Err(failure):
+                detail = failure.detail
+        self._dispatcher.finish(configuration, request, attempt, quality, now, detail)
+
+
+def _complete(answer: PlainAnswer) -> Completed:
+    return Completed(answer.status, answer.content_type, answer.body)
--- /dev/null
+++ b/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
@@ -0,0 +1,309 @@
+"""Choice of upstream for each attempt, and what the attempt teaches."""
+
+import hashlib
+import random
+from collections.abc import Callable, Collection
+
+import attrs
+from result import Err, Ok, Result
+
+from waxwingbarrow.core import (
+    CrashSuspected,
+    Instant,
+    NoUpstream,
+    UpstreamId,
+    VersionName,
+)
+from waxwingbarrow.daemon._control import Configuration, ControlPlane
+from waxwingbarrow.daemon._fleet import Fleet, LoadReport
+from waxwingbarrow.daemon._metrics import Metrics
+from waxwingbarrow.daemon._requests import CallerRequest
+from waxwingbarrow.daemon._rollouts import Rollouts
+from waxwingbarrow.daemon._trace import Trace
+from waxwingbarrow.rollout import ResponseQuality
+from waxwingbarrow.routing import (
+    Choice,
+    CrashSuspects,
+    LeavingSource,
+    PrefixIndex,
+    RetryBudget,
+    RouteRequest,
+    RoutingPolicy,
+    UpstreamView,
+    choose_upstream,
+    hash_prefix,
+)
+from waxwingbarrow.streams import ResumeToken
+from waxwingbarrow.upstreams import EngineLoad, UpstreamAddress
+
+CHARS_PER_TOKEN = 4  # usual for English text; only ratios between prompts matter here
+
+
+@attrs.frozen
+class Attempt:
+    """One sending of a request to one upstream."""
+
+    choice: Choice
+    fingerprint: str
+    prompt_tokens: int
+    prefix_blocks: tuple[int, ...]
+    version: VersionName
+    started: Instant
+
+    @property
+    def upstream(self) -> UpstreamId:
+        """The upstream that runs the attempt."""
+        return self.choice.view.upstream
+
+
+def compute_fingerprint(request: CallerRequest) -> str:
+    """Return the digest by which a repeated request is recognized."""
+    digest = hashlib.sha256()
+    for part in (request.account, request.service, request.route.route):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()[:32]
+
+
+class Dispatcher:
+    """Chooses upstreams and notes the results of attempts.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Upstreams and their health.
+    control : ControlPlane
+        Documents and verdicts.
+    rollouts : Rollouts
+        Shares and evidence.
+    policy : RoutingPolicy
+        Weights of the choice.
+    block_chars : int
+        Size of prefix blocks.
+    metrics : Metrics
+        Counters of attempts.
+    trace : Trace
+        Events of requests.
+    rng : random.Random
+        Picks among equivalent upstreams.
+    on_crash_news : callable
+        Called when a lost upstream or a cleared suspicion should reach other hosts.
+    on_leaving : callable
+        Called when an upstream was found to be leaving.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        control: ControlPlane,
+        rollouts: Rollouts,
+        policy: RoutingPolicy,
+        block_chars: int,
+        metrics: Metrics,
+        trace: Trace,
+        rng: random.Random,
+        on_crash_news: Callable[[], None],
+        on_leaving: Callable[[], None],
+    ) -> None:
+        self.fleet = fleet
+        self.prefixes = PrefixIndex(block_tokens=block_chars // CHARS_PER_TOKEN)
+        self.crashes = CrashSuspects()
+        self.budget = RetryBudget()
+        self._control = control
+        self._rollouts = rollouts
+        self._policy = policy
+        self._block_chars = block_chars
+        self._metrics = metrics
+        self._trace = trace
+        self._rng = rng
+        self._on_crash_news = on_crash_news
+        self._on_leaving = on_leaving
+
+    def pick_version(
+        self, configuration: Configuration, request: CallerRequest, now: Instant
+    ) -> VersionName:
+        """Return the version that serves a request first."""
+        agreed = self._control.find_agreed(configuration)
+        return self._rollouts.pick(configuration, agreed, request.request_id, now)
+
+    def choose(
+        self,
+        request: CallerRequest,
+        prompt: str,
+        max_output_tokens: int,
+        version: VersionName,
+        excluded: Collection[UpstreamId],
+        now: Instant,
+    ) -> Result[Attempt, NoUpstream | CrashSuspected]:
+        """Choose the upstream of one attempt and note that it starts."""
+        fingerprint = compute_fingerprint(request)
+        checked = self.crashes.check(fingerprint, now)
+        if isinstance(checked, Err):
+            return checked
+        prompt_tokens = max(1, len(prompt) // CHARS_PER_TOKEN)
+        wanted = RouteRequest(
+            service=request.service,
+            route=request.route.route,
+            priority_class=request.priority_class,
+            prefix_blocks=hash_prefix(prompt, self._block_chars),
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=max_output_tokens,
+            version=version,
+            account=request.account,
+            fingerprint=fingerprint,
+        )
+        views = self.fleet.list_views(request.service, now)
+        fresh = [view for view in views if view.upstream not in excluded]
+        chosen = choose_upstream(
+            wanted, fresh, self.prefixes, self._policy, now, self._rng
+        )
+        if isinstance(chosen, Err):
+            return chosen
+        attempt = Attempt(chosen.ok_value, fingerprint, prompt_tokens, version, now)
+        self._start(request, wanted, attempt, now)
+        return Ok(attempt)
+
+    def _start(
+        self,
+        request: CallerRequest,
+        wanted: RouteRequest,
+        attempt: Attempt,
+        now: Instant,
+    ) -> None:
+        view = attempt.choice.view
+        self.fleet.start(view, attempt.prompt_tokens)
+        self.crashes.start(attempt.fingerprint, view.upstream, view.incarnation)
+        if wanted.prefix_blocks:
+            self.prefixes.learn(view.upstream, wanted.prefix_blocks, now)
+        self._trace.record(
+            request.request_id,
+            "attempt",
+            f"{view.upstream} {attempt.version}",
+            now,
+        )
+
+    def finish(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        attempt: Attempt,
+        quality: ResponseQuality | None,
+        now: Instant,
+        detail: str = "",
+    ) -> None:
+        """Note how an attempt ended.
+
+        Parameters
+        ----------
+        quality : ResponseQuality or None
+            None if the end says nothing about the upstream or its version, for example
+            when the caller has gone.
+        detail : str
+            What happened, for operators.
+        """
+        view = attempt.choice.view
+        succeeded = None if quality is None else quality is ResponseQuality.COMPLETE
+        self.fleet.finish(view, succeeded, now)
+        had_suspicion = bool(self.crashes.list_suspicions(now))
+        self.crashes.finish(
+            attempt.fingerprint,
+            view.upstream,
+            view.incarnation,
+            bool(succeeded),
+            now,
+        )
+        if succeeded and had_suspicion:
+            self._on_crash_news()
+        result = quality.value if quality is not None else "ended"
+        self._metrics.attempts.labels(request.service, attempt.version, result).inc()
+        self._trace.record(request.request_id, result, detail or view.upstream, now)
+        if quality is not None:
+            self._rollouts.record(
+                configuration,
+                attempt.version,
+                request.route.route,
+                quality,
+                now.mono_ms - attempt.started.mono_ms,
+                now,
+            )
+
+    def adopt(
+        self, request: CallerRequest, token: ResumeToken, now: Instant
+    ) -> Attempt | None:
+        """Return an attempt that another host began; None if its upstream is gone."""
+        view = self.fleet.find(token.upstream, now)
+        if view is None or view.address != token.address:
+            return None
+        choice = Choice(view=view, first_token_ms=0.0, matched_tokens=0, candidates=1)
+        fingerprint = compute_fingerprint(request)
+        self.fleet.start(view, 0)
+        self.crashes.start(fingerprint, view.upstream, view.incarnation)
+        return Attempt(choice, fingerprint, 0, (), token.version, now)
+
+    def note_start(self, attempt: Attempt, cached_tokens: int, now: Instant) -> None:
+        """Note that the engine began the answer, and what it found in its cache."""
+        view = attempt.choice.view
+        self.fleet.start_answer(view, attempt.prompt_tokens)
+        recomputed = max(0, attempt.prompt_tokens - cached_tokens)
+        self._metrics.recomputed_tokens.labels(view.service, attempt.version).inc(
+            recomputed
+        )
+        if attempt.prefix_blocks:
+            self.prefixes.correct(
+                view.upstream,
+                attempt.prefix_blocks,
+                attempt.choice.matched_tokens,
+                cached_tokens,
+            )
+
+    def note_load(
+        self, view: UpstreamView, load: EngineLoad | None, now: Instant
+    ) -> None:
+        """Take over the load that came with an answer."""
+        if load is None:
+            return
+        self.fleet.report_load(view.upstream, view.incarnation, make_load(load, now))
+        if load.leaving:
+            self.note_leaving(view)
+
+    def note_leaving(self, view: UpstreamView) -> None:
+        """Note that an upstream itself says that it is leaving."""
+        source = LeavingSource.RESPONSE
+        if self.fleet.report_leaving(view.upstream, view.incarnation, source):
+            self._on_leaving()
+
+    def lose(self, attempt: Attempt, now: Instant) -> None:
+        """Note that the attempt's upstream process has ended."""
+        view = attempt.choice.view
+        if self.crashes.lose_upstream(view.upstream, view.incarnation, now):
+            self.prefixes.forget(view.upstream)
+            self._on_crash_news()
+
+    def choose_fallback(
+        self, configuration: Configuration, version: VersionName, now: Instant
+    ) -> VersionName:
+        """Return the version for a retry after a fault of `version`."""
+        rollout = configuration.document.rollout
+        if rollout is None or version != rollout.to_version:
+            return version
+        agreed = self._control.find_agreed(configuration)
+        share = self._rollouts.compute_share(configuration, agreed, now)
+        # When all requests go to the new version, the old one may have no upstreams.
+        return version if share.percent >= 100 else rollout.from_version
+
+
+def make_address(view: UpstreamView) -> UpstreamAddress:
+    """Return where to reach an upstream."""
+    return UpstreamAddress(view.upstream, view.address)
+
+
+def make_load(load: EngineLoad, now: Instant) -> LoadReport:
+    """Return a load report as the fleet keeps it."""
+    return LoadReport(
+        in_flight=load.running + load.waiting,
+        queued_tokens=load.queued_tokens,
+        prefill_tokens_per_s=load.prefill_tokens_per_s,
+        decode_tokens_per_s=load.decode_tokens_per_s,
+        batch_limit=load.batch_limit,
+        reported_at=now,
+    )
--- /dev/null
+++ b/libs/daemon/src/waxwingbarrow/daemon/_host.py
@@ -0,0 +1,526 @@
+"""The daemon of one entry host."""
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+
+from result import Result
+
+from waxwingbarrow.claims import ClaimPolicy
+from waxwingbarrow.core import (
+    HostId,
+    Incarnation,
+    Instant,
+    Refusal,
+    RequestId,
+    ServiceName,
+    SystemClock,
+    UpstreamId,
+)
+from waxwingbarrow.daemon._admission import Admissions
+from waxwingbarrow.daemon._bookings import Bookings
+from waxwingbarrow.daemon._callers import CallerContext, CallerEndpoints
+from waxwingbarrow.daemon._calls import Calls
+from waxwingbarrow.daemon._control import Configuration, ControlPlane, Lost
+from waxwingbarrow.daemon._dispatch import Dispatcher
+from waxwingbarrow.daemon._events import GenerationContext, GenerationPolicy
+from waxwingbarrow.daemon._fleet import Fleet
+from waxwingbarrow.daemon._gossip import Gossip, GossipListeners, UpstreamProcess
+from waxwingbarrow.daemon._lifecycle import Lifecycle
+from waxwingbarrow.daemon._logs import get_logger
+from waxwingbarrow.daemon._metrics import Metrics
+from waxwingbarrow.daemon._observers import FleetObserver
+from waxwingbarrow.daemon._operators import OperatorEndpoints
+from waxwingbarrow.daemon._rollouts import Rollouts
+from waxwingbarrow.daemon._server import HttpServer, make_app
+from waxwingbarrow.daemon._settings import Settings
+from waxwingbarrow.daemon._status import HostStatus, ServiceStatus, UpstreamStatus
+from waxwingbarrow.daemon._trace import Trace, TraceEvent
+from waxwingbarrow.membership import (
+    FailureDetector,
+    GossipMap,
+    Liveness,
+    Member,
+    MemberStatus,
+    assign,
+)
+from waxwingbarrow.peers import ControlCallbacks, PeerNode, PeerSettings, TlsSettings
+from waxwingbarrow.platform import HttpLogClient, HttpSession
+from waxwingbarrow.routing import CrashSuspicion, HealthPolicy, RoutingPolicy
+from waxwingbarrow.state import Writer
+from waxwingbarrow.streams import ResumeKey, ResumeKeys
+from waxwingbarrow.upstreams import EngineClient, ServiceClient
+
+DISPATCH_INTERVAL_S = 0.05
+SHARES_INTERVAL_S = 1.0
+READINESS_INTERVAL_S = 0.05
+# A process run that no member announces counts as ended only after the roster has had
+# time to learn all members.
+ROSTER_SETTLE_MS = 10_000
+
+logger = get_logger("host")
+
+
+class Host:
+    """One entry host: all its parts, and its life from start to stop.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._started = self._clock.now()
+        self._lifecycle = Lifecycle()
+        self._metrics = Metrics()
+        self._trace = Trace()
+        self._stop_requested = asyncio.Event()
+        self._handing_over = asyncio.Event()
+        self._incarnation = Incarnation(
+            self._started.wall_ms, self._rng.getrandbits(32)
+        )
+        self._session = HttpSession(settings.host_id)
+        self._make_control()
+        self._make_membership()
+        self._make_fleet()
+        self._make_serving()
+
+    async def run(self) -> None:
+        """Serve until a stop is requested, then stop without cutting off a request."""
+        self._catch_signals()
+        async with asyncio.TaskGroup() as group:
+            tasks = self._start_background(group)
+            await self._server.start()
+            logger.info("Listening at %s.", self._settings.caller_address)
+            await self._stop_requested.wait()
+            await self._fail_readiness()
+            await self._drain_requests()
+            await self._bookings.finish()
+            await self._leave_peers()
+            for task in tasks:
+                task.cancel()
+        self._lifecycle.stop()
+        logger.info("Stopped.")
+
+    # Construction.
+
+    def _make_control(self) -> None:
+        settings = self._settings
+        writer = Writer(settings.host_id, self._incarnation)
+        client = HttpLogClient(
+            self._session,
+            settings.platform.log_address,
+            settings.log_append_timeout_ms,
+        )
+        self._control = ControlPlane(
+            writer,
+            client,
+            self._clock,
+            self._rng,
+            settings.log_poll_ms,
+            settings.log_append_timeout_ms,
+            settings.log_retention_s * 1000,
+        )
+        self._bookings = Bookings(
+            writer,
+            client,
+            self._clock,
+            self._rng,
+            ClaimPolicy(
+                key_max_age_s=settings.key_max_age_s,
+                log_retention_s=settings.log_retention_s,
+                max_clock_skew_ms=settings.max_clock_skew_ms,
+                outcome_max_bytes=settings.outcome_max_bytes,
+            ),
+            self._is_gone,
+            settings.log_poll_ms,
+            settings.log_append_timeout_ms,
+        )
+
+    def _make_membership(self) -> None:
+        settings = self._settings
+        self._gossip_map = GossipMap(settings.host_id, self._incarnation)
+        self._gossip_cursor = 0
+        member = Member(
+            settings.host_id,
+            self._incarnation,
+            settings.data_centre,
+            settings.zone,
+            settings.peer_address,
+            settings.caller_address,
+        )
+        control = self._control
+        self._peers = PeerNode(
+            PeerSettings(
+                listen_address=settings.peer_address,
+                seeds=settings.peers,
+                tls=_read_tls(settings),
+                peer_count=settings.gossip_fanout,
+                gossip_interval_ms=settings.gossip_interval_ms,
+            ),
+            member,
+            self._gossip_map,
+            FailureDetector(settings.host_id, self._incarnation),
+            self._clock,
+            ControlCallbacks(
+                next_offset=control.next_offset,
+                read_entries=control.read_entries,
+                on_entries=control.take_peer_entries,
+                on_snapshot=control.take_peer_snapshot,
+            ),
+            self._rng,
+        )
+        control.add_listener(self._peers.broadcast_now)
+        self._gossip = Gossip(self._gossip_map, self._peers.broadcast_now)
+
+    def _make_fleet(self) -> None:
+        settings = self._settings
+        self._fleet = Fleet(HealthPolicy())
+        self._rollouts = Rollouts(settings.host_id, self._incarnation)
+        self._control.add_listener(self._drop_outdated)
+        self._dispatcher = Dispatcher(
+            self._fleet,
+            self._control,
+            self._rollouts,
+            RoutingPolicy(
+                data_centre=settings.data_centre,
+                zone=settings.zone,
+                subset_size=settings.subset_size,
+            ),
+            settings.prefix_block_chars,
+            self._metrics,
+            self._trace,
+            self._rng,
+            self._publish_crashes,
+            self._publish_leaving,
+        )
+        self._engines = EngineClient(
+            connect_timeout_ms=settings.connect_timeout_ms,
+            first_event_timeout_ms=settings.first_event_timeout_ms,
+            event_gap_timeout_ms=settings.event_gap_timeout_ms,
+        )
+        self._observer = FleetObserver(
+            settings,
+            self._session,
+            self._fleet,
+            self._engines,
+            self._clock,
+            self._publish_leaving,
+        )
+
+    def _make_serving(self) -> None:
+        settings = self._settings
+        self._admissions = Admissions(self._clock, settings.max_concurrent_requests)
+        generation = GenerationContext(
+            dispatcher=self._dispatcher,
+            engines=self._engines,
+            clock=self._clock,
+            keys=_make_resume_keys(settings),
+            policy=GenerationPolicy(
+                max_attempts=settings.max_attempts,
+                token_lifetime_s=settings.resume_token_lifetime_s,
+            ),
+            stopping=self._handing_over,
+        )
+        calls = Calls(
+            self._dispatcher,
+            ServiceClient(connect_timeout_ms=settings.connect_timeout_ms),
+            self._clock,
+            settings.max_attempts,
+            settings.call_timeout_ms,
+        )
+        callers = CallerEndpoints(
+            CallerContext(
+                control=self._control,
+                lifecycle=self._lifecycle,
+                admissions=self._admissions,
+                generation=generation,
+                calls=calls,
+                bookings=self._bookings,
+                metrics=self._metrics,
+                trace=self._trace,
+                clock=self._clock,
+                is_clock_suspect=self._is_clock_suspect,
+                max_body_bytes=settings.max_body_bytes,
+            )
+        )
+        operators = OperatorEndpoints(
+            self, settings.operator_key_hashes, settings.max_body_bytes
+        )
+        app = make_app(
+            [*callers.list_routes(), *operators.list_routes()],
+            self._metrics,
+            lambda: self._lifecycle.is_ready,
+        )
+        self._server = HttpServer(
+            app, settings.caller_address, settings.drain_timeout_ms
+        )
+
+    # Background work.
+
+    def _start_background(self, group: asyncio.TaskGroup) -> list[asyncio.Task[None]]:
+        work = {
+            "control-reader": self._control.reader.run(),
+            "control-appender": self._control.appender.run(),
+            "claims": self._bookings.run(),
+            "peers": self._peers.run(),
+            "observer": self._observer.run(),
+            "admissions": self._admissions.run(),
+            "dispatch": self._run_dispatch(),
+            "rollouts": self._run_rollouts(),
+            "shares": self._run_shares(),
+            "checkpoints": self._run_checkpoints(),
+            "readiness": self._run_readiness(),
+        }
+        return [group.create_task(one, name=name) for name, one in work.items()]
+
+    async def _run_dispatch(self) -> None:
+        """Hand items that arrived by gossip to the parts that use them."""
+        listeners = GossipListeners(
+            on_evidence=self._rollouts.learn_evidence,
+            on_withdrawals=self._learn_withdrawals,
+            on_leaving=self._learn_leaving,
+            on_crashes=self._learn_crashes,
+        )
+        while True:
+            await asyncio.sleep(DISPATCH_INTERVAL_S)
+            changes = self._gossip_map.changes_since(self._gossip_cursor)
+            self._gossip_cursor = changes.cursor
+            own = self._settings.host_id
+            items = [item for item in changes.items if item.origin != own]
+            self._gossip.dispatch(items, listeners)
+
+    async def _run_rollouts(self) -> None:
+        """Judge rollouts, spread evidence, and record verdicts where it is the duty."""
+        while True:
+            await asyncio.sleep(self._settings.rollout_interval_ms / 1000)
+            now = self._clock.now()
+            for evidence in self._rollouts.list_own_evidence():
+                self._gossip.put_evidence(evidence, now)
+            for configuration in tuple(self._control.configurations.values()):
+                await self._judge(configuration, now)
+
+    async def _judge(self, configuration: Configuration, now: Instant) -> None:
+        agreed = self._control.find_agreed(configuration)
+        before = self._rollouts.withdrawals
+        due = self._rollouts.evaluate(configuration, agreed, now)
+        if self._rollouts.withdrawals != before:
+            self._gossip.put_withdrawals(self._rollouts.withdrawals, now)
+        if due is not None and self._has_duty(f"verdict/{due.service}", now):
+            await self._control.agree_verdict(
+                due.service, due.revision, due.version, due.kind, due.reason
+            )
+
+    async def _run_shares(self) -> None:
+        """Gossip demand and recompute this host's shares of the accounts' limits."""
+        while True:
+            now = self._clock.now()
+            self._gossip.put_demand(self._admissions.list_demand(now), now)
+            views = self._peers.roster.list_members(now)
+            own = self._settings.host_id
+            heard = {
+                view.member.host_id: now
+                for view in views
+                if view.member.host_id != own and view.liveness is not Liveness.DEAD
+            }
+            self._admissions.update_shares(
+                self._control.configurations,
+                self._gossip.list_demand(heard),
+                heard,
+                max(1, len(views)),
+                now,
+            )
+            await asyncio.sleep(SHARES_INTERVAL_S)
+
+    async def _run_checkpoints(self) -> None:
+        """Write checkpoints where it is the duty, and the first record of the log."""
+        while True:
+            now = self._clock.now()
+            if self._has_duty("checkpoint", now):
+                await self._control.write_checkpoint_if_due(now)
+            is_empty = self._control.state.next_offset == 0
+            interval_ms = self._settings.checkpoint_interval_ms
+            await asyncio.sleep(0.1 if is_empty else interval_ms / 1000)
+
+    async def _run_readiness(self) -> None:
+        while True:
+            now = self._clock.now()
+            self._lifecycle.update_readiness(self._can_serve())
+            self._metrics.ready.set(1 if self._lifecycle.is_ready else 0)
+            self._metrics.peers.set(len(self._peers.list_peers()))
+            for stream, reader in (
+                ("control", self._control.reader),
+                ("claims", self._bookings.reader),
+            ):
+                last = reader.last_tail_read
+                lag_ms = now.mono_ms - (last or self._started).mono_ms
+                self._metrics.log_lag_s.labels(stream).set(lag_ms / 1000)
+            await asyncio.sleep(READINESS_INTERVAL_S)
+
+    def _can_serve(self) -> bool:
+        """Return whether the host knows the configuration, from the log or a peer."""
+        return self._control.is_known and self._observer.has_list
+
+    # Shutdown.
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.drain)
+
+    async def _fail_readiness(self) -> None:
+        """Give the balancer time to see that this host takes no new requests."""
+        logger.info("Draining.")
+        self._peers.set_status(MemberStatus.DRAINING)
+        await asyncio.sleep(self._settings.readiness_grace_ms / 1000)
+
+    async def _drain_requests(self) -> None:
+        """Close the listener; streams still open after the drain time move on."""
+        self._admissions.refuse_waiting()
+        closing = asyncio.create_task(self._server.close())
+        timeout_s = self._settings.drain_timeout_ms / 1000
+        await asyncio.wait([closing], timeout=timeout_s)
+        self._handing_over.set()
+        await closing
+
+    async def _leave_peers(self) -> None:
+        self._peers.stop()
+        await asyncio.sleep(0.2)  # lets the departure reach the peers
+
+    # What other hosts report.
+
+    def _learn_withdrawals(self, withdrawals: object) -> None:
+        if self._rollouts.learn_withdrawals(withdrawals):  # type: ignore[arg-type]
+            # Copied, so that it survives the host that found the fault.
+            self._gossip.put_withdrawals(self._rollouts.withdrawals, self._clock.now())
+
+    def _learn_leaving(self, processes: tuple[UpstreamProcess, ...]) -> None:
+        self._fleet.learn_leaving(processes)
+
+    def _learn_crashes(self, suspicions: tuple[CrashSuspicion, ...]) -> None:
+        self._dispatcher.crashes.merge(suspicions, self._clock.now())
+
+    def _publish_leaving(self) -> None:
+        self._gossip.put_leaving(self._fleet.list_leaving(), self._clock.now())
+
+    def _publish_crashes(self) -> None:
+        now = self._clock.now()
+        self._gossip.put_crashes(self._dispatcher.crashes.list_suspicions(now), now)
+
+    def _drop_outdated(self) -> None:
+        configurations = self._control.configurations
+        self._rollouts.drop_outdated(
+            {name: item.revision for name, item in configurations.items()}
+        )
+
+    def _has_duty(self, duty: str, now: Instant) -> bool:
+        own = self._settings.data_centre
+        live = [
+            member
+            for member in self._peers.roster.list_live(now)
+            if member.data_centre == own
+        ]
+        holder = assign(duty, live)
+        return holder is None or holder == self._settings.host_id
+
+    def _is_gone(self, host_id: HostId, incarnation: Incarnation) -> bool:
+        """Return whether a process run has ended, as far as this host can tell."""
+        if (host_id, incarnation) == (self._settings.host_id, self._incarnation):
+            return False
+        now = self._clock.now()
+        for view in self._peers.roster.list_members(now):
+            if view.member.host_id == host_id:
+                is_same = view.member.incarnation == incarnation
+                has_left = view.member.status is MemberStatus.LEFT
+                return not is_same or has_left or view.liveness is Liveness.DEAD
+        return now.mono_ms - self._started.mono_ms > ROSTER_SETTLE_MS
+
+    def _is_clock_suspect(self) -> bool:
+        divergence_ms = abs(self._clock.compute_divergence_ms())
+        return divergence_ms > self._settings.max_clock_skew_ms
+
+    # What operators see and do.
+
+    def read_status(self) -> HostStatus:
+        """Return the status of the host."""
+        now = self._clock.now()
+        control = self._control
+        last = control.reader.last_tail_read
+        moves = (
+            self._rollouts.describe(item, control.find_agreed(item), now)
+            for item in control.configurations.values()
+        )
+        return HostStatus(
+            host=self._settings.host_id,
+            data_centre=self._settings.data_centre,
+            lifecycle=self._lifecycle.state,
+            control_offset=control.state.next_offset,
+            log_lag_s=(now.mono_ms - last.mono_ms) / 1000 if last else None,
+            peers=self._peers.list_peers(),
+            services=tuple(
+                ServiceStatus(
+                    name, item.revision, item.author, len(item.document.accounts)
+                )
+                for name, item in sorted(control.configurations.items())
+            ),
+            moves=tuple(move for move in moves if move is not None),
+            upstreams=tuple(
+                UpstreamStatus(
+                    view.upstream,
+                    view.service,
+                    view.version,
+                    view.suspicion.value,
+                    view.in_flight,
+                )
+                for view in self._fleet.list_all(now)
+            ),
+            clock_suspect=self._is_clock_suspect(),
+        )
+
+    def find_configuration(self, service: ServiceName) -> Configuration | None:
+        """Return the document in force for a service."""
+        return self._control.find(service)
+
+    def find_trace(self, request_id: RequestId) -> tuple[TraceEvent, ...]:
+        """Return the events of a request that this host served."""
+        return self._trace.find(request_id)
+
+    async def publish(
+        self, service: ServiceName, text: str, base_revision: int | None, author: str
+    ) -> Result[int, Refusal | Lost]:
+        """Publish a service document."""
+        return await self._control.publish(service, text, base_revision, author)
+
+    def drain_upstream(self, upstream: UpstreamId) -> bool:
+        """Send no new work to an upstream, on every host."""
+        known = self._fleet.drain(upstream)
+        if known:
+            self._publish_leaving()
+        return known
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown."""
+        self._lifecycle.drain()
+        self._stop_requested.set()
+
+
+def _read_tls(settings: Settings) -> TlsSettings | None:
+    if settings.tls is None:
+        return None
+    return TlsSettings(
+        certificate=Path(settings.tls.certificate_path).read_bytes(),
+        private_key=Path(settings.tls.private_key_path).read_bytes(),
+        authority=Path(settings.tls.authority_path).read_bytes(),
+    )
+
+
+def _make_resume_keys(settings: Settings) -> ResumeKeys:
+    keys = tuple(
+        ResumeKey(item.key_id, item.secret.encode()) for item in settings.token_keys
+    )
+    return ResumeKeys(keys[0], keys[1:])
--- /dev/null
+++ b/libs/daemon/src/waxwingbarrow/daemon/_lifecycle.py
@@ -0,0 +1,58 @@
+"""Lifecycle of the host: starting, ready, draining, stopped."""
+
+from typing import Any
+
+from transitions import Machine
+
+
+class Lifecycle:
+    """State of the host as the balancer and operators see it."""
+
+    STATES = ("starting", "ready", "draining", "stopped")
+
+    state: str
+
+    def __init__(self) -> None:
+        self._machine = Machine(
+            model=self,
+            states=list(self.STATES),
+            initial="starting",
+            auto_transitions=False,
+        )
+        self._machine.add_transition("_become_ready", "starting", "ready")
+        self._machine.add_transition("_become_unready", "ready", "starting")
+        self._machine.add_transition("_drain", ["starting", "ready"], "draining")
+        self._machine.add_transition("_stop", "*", "stopped")
+
+    def _fire(self, trigger: str) -> Any:
+        return getattr(self, trigger)()
+
+    def update_readiness(self, can_serve: bool) -> None:
+        """Move between starting and ready; a draining host never returns."""
+        if can_serve and self.state == "starting":
+            self._fire("_become_ready")
+        elif not can_serve and self.state == "ready":
+            self._fire("_become_unready")
+
+    def drain(self) -> None:
+        """Take no new requests from now on."""
+        if self.state in ("starting", "ready"):
+            self._fire("_drain")
+
+    def stop(self) -> None:
+        """Mark the host as stopped."""
+        self._fire("_stop")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests."""
+        return self.state == "ready"
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether a request that arrives is served.
+
+        A draining host still serves requests that arrive before the balancer has seen
+        that readiness fails; only a stopped host refuses.
+        """
+        return self.state in ("ready", "draining")
--- /dev/null
+++ b/libs/daemon/src/waxwingbarrow/daemon/_rollouts.py
@@ -0,0 +1,233 @@
+"""Rollouts on this host: evidence, shares, withdrawals and verdicts."""
+
+import attrs
+
+from waxwingbarrow.core import (
+    HostId,
+    Incarnation,
+    Instant,
+    RequestId,
+    RouteName,
+    ServiceName,
+    VersionName,
+)
+from waxwingbarrow.daemon._control import Configuration
+from waxwingbarrow.daemon._logs import get_logger
+from waxwingbarrow.document import Rollout
+from waxwingbarrow.rollout import (
+    Done,
+    Evidence,
+    EvidenceKey,
+    EvidenceRecorder,
+    Move,
+    OriginEvidence,
+    ResponseQuality,
+    Running,
+    Share,
+    Verdict,
+    Withdrawals,
+    Withdrawn,
+    compute_share,
+    decide_verdict,
+    make_move,
+    make_withdrawal,
+    pick_version,
+)
+from waxwingbarrow.state import AgreedVerdict, VerdictKind
+
+logger = get_logger("rollouts")
+
+
+@attrs.frozen
+class VerdictDue:
+    """A verdict that the log does not hold yet."""
+
+    service: ServiceName
+    revision: int
+    version: VersionName
+    kind: VerdictKind
+    reason: str
+
+
+class Rollouts:
+    """State of all rollouts as this host sees them.
+
+    Parameters
+    ----------
+    host_id : HostId
+        This host.
+    incarnation : Incarnation
+        This process run.
+    """
+
+    def __init__(self, host_id: HostId, incarnation: Incarnation) -> None:
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._recorders: dict[ServiceName, tuple[int, EvidenceRecorder]] = {}
+        self._decided_ms: dict[tuple[ServiceName, int], int] = {}
+        self.evidence = Evidence()
+        self.withdrawals = Withdrawals()
+
+    def learn_evidence(self, evidence: OriginEvidence) -> None:
+        """Take over another host's counters."""
+        self.evidence = self.evidence.add(evidence)
+
+    def learn_withdrawals(self, withdrawals: Withdrawals) -> bool:
+        """Take over withdrawals; return whether one was new."""
+        merged = self.withdrawals.merge(withdrawals)
+        is_new = merged != self.withdrawals
+        self.withdrawals = merged
+        return is_new
+
+    def drop_outdated(self, revisions: dict[ServiceName, int]) -> None:
+        """Forget evidence and withdrawals of replaced revisions."""
+        self.evidence = self.evidence.keep(revisions)
+        # A revision that is newer than this host's may be in force elsewhere already.
+        self.withdrawals = Withdrawals(
+            tuple(
+                item
+                for item in self.withdrawals.items
+                if item.revision >= revisions.get(item.service, 0)
+            )
+        )
+
+    def pick(
+        self,
+        configuration: Configuration,
+        agreed: AgreedVerdict | None,
+        request_id: RequestId,
+        now: Instant,
+    ) -> VersionName:
+        """Return the version for a request."""
+        share = self.compute_share(configuration, agreed, now)
+        return pick_version(configuration.document, share, request_id)
+
+    def compute_share(
+        self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
+    ) -> Share:
+        """Return the present share of the new version."""
+        return compute_share(
+            configuration.document,
+            configuration.revision,
+            self.evidence,
+            self._to_verdict(configuration, agreed, now),
+            self.withdrawals,
+            now,
+        )
+
+    def record(
+        self,
+        configuration: Configuration,
+        version: VersionName,
+        route: RouteName,
+        quality: ResponseQuality,
+        latency_ms: float,
+        now: Instant,
+    ) -> None:
+        """Count one request that has ended, if a rollout is under way."""
+        rollout = configuration.document.rollout
+        if rollout is None or now.wall_ms < rollout.start_ms:
+            return
+        recorder = self._open_recorder(configuration, rollout)
+        recorder.record(version, route, quality, latency_ms, now)
+        self.evidence = self.evidence.add(recorder.snapshot())
+
+    def list_own_evidence(self) -> tuple[OriginEvidence, ...]:
+        """Return this host's counters for gossip."""
+        return tuple(recorder.snapshot() for _, recorder in self._recorders.values())
+
+    def evaluate(
+        self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
+    ) -> VerdictDue | None:
+        """Judge a rollout; a withdrawal takes effect on this host at once.
+
+        Returns
+        -------
+        VerdictDue or None
+            The verdict to record in the log, if it is not there yet.
+        """
+        document, revision = configuration.document, configuration.revision
+        if document.rollout is None or agreed is not None:
+            return None
+        version = document.rollout.to_version
+        known = self.withdrawals.find(document.service, revision, version)
+        if known is not None:
+            return VerdictDue(
+                document.service,
+                revision,
+                version,
+                VerdictKind.WITHDRAWN,
+                known.reason,
+            )
+        match decide_verdict(document, revision, self.evidence, now):
+            case Withdrawn() as verdict:
+                withdrawal = make_withdrawal(document, revision, verdict)
+                if withdrawal is not None:
+                    self.withdrawals = self.withdrawals.add(withdrawal)
+                logger.warning(
+                    "Withdrew %s of %s: %s.", version, document.service, verdict.reason
+                )
+                return VerdictDue(
+                    document.service,
+                    revision,
+                    version,
+                    VerdictKind.WITHDRAWN,
+                    verdict.reason,
+                )
+            case Done():
+                return VerdictDue(
+                    document.service, revision, version, VerdictKind.DONE, "proven"
+                )
+            case Running():
+                return None
+
+    def describe(
+        self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
+    ) -> Move | None:
+        """Return the rollout as operators see it."""
+        document, revision = configuration.document, configuration.revision
+        if document.rollout is None:
+            return None
+        verdict = self._to_verdict(configuration, agreed, now)
+        if verdict is None:
+            known = self.withdrawals.find(
+                document.service, revision, document.rollout.to_version
+            )
+            verdict = (
+                Withdrawn(known.reason, known.at_ms)
+                if known is not None
+                else decide_verdict(document, revision, self.evidence, now)
+            )
+        share = self.compute_share(configuration, agreed, now)
+        return make_move(document, revision, share, verdict)
+
+    def _open_recorder(
+        self, configuration: Configuration, rollout: Rollout
+    ) -> EvidenceRecorder:
+        service, revision = configuration.document.service, configuration.revision
+        known = self._recorders.get(service)
+        if known is not None and known[0] == revision:
+            return known[1]
+        key = EvidenceKey(service, revision, self._host_id, self._incarnation)
+        recorder = EvidenceRecorder(key, rollout)
+        self._recorders[service] = (revision, recorder)
+        return recorder
+
+    def _to_verdict(
+        self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
+    ) -> Verdict | None:
+        if agreed is None:
+            return None
+        if agreed.verdict is VerdictKind.DONE:
+            return Done()
+        # The log's record has no time of its own; the host that decided has sent its
+        # time with the withdrawal, else the time at which this host learned of it.
+        document, revision = configuration.document, configuration.revision
+        known = None
+        if document.rollout is not None:
+            known = self.withdrawals.find(
+                document.service, revision, document.rollout.to_version
+            )
+        key = (document.service, revision)
+        learned_ms = self._decided_ms.setdefault(key, now.wall_ms)
+        return Withdrawn(agreed.reason, known.at_ms if known else learned_ms)
--- a/libs/rollout/tests/test_evidence.py
+++ b/libs/rollout/tests/test_evidence.py
@@ -146,7 +146,7 @@
         (with_row([0, 5, 0, 0, 5, 1]), "routes[0].rows[0]"),
         (with_row({"a": 1}), "routes[0].rows[0]"),
         (with_row([0, True, 1, 0]), "routes[0].rows[0]"),
-        (json.dumps({**VALID, "routes": {"a": 1}}).encode(), ""),
+        (json.dumps({**VALID, "routes": {"a": 1}}).encode(), "routes"),
         (with_row([0, 10**13, 10**13, 0]), "routes[0].rows[0]"),
         (b"[" * 100_000, ""),
         (with_row([0, "1", 0, 0]), "routes[0].rows[0]"),
--- a/libs/state/src/waxwingbarrow/state/_fold.py
+++ b/libs/state/src/waxwingbarrow/state/_fold.py
@@ -253,7 +253,9 @@
     key = VerdictKey(body.service, body.revision, body.version)
     earlier = state.verdicts.get(key)
     if earlier is not None and (
-        earlier.verdict is body.verdict or earlier.verdict is VerdictKind.WITHDRAWN
+        earlier.verdict is body.verdict
+        or earlier.verdict is VerdictKind.WITHDRAWN
+        or body.by_deadline
     ):
         return state, Ignored(IgnoredReason.OUTDATED)
     agreed = AgreedVerdict(body.verdict, body.reason, entry.offset)
--- a/libs/state/src/waxwingbarrow/state/_records.py
+++ b/libs/state/src/waxwingbarrow/state/_records.py
@@ -140,13 +140,22 @@
 
 @attrs.frozen
 class VerdictBody:
-    """Ends the rollout of one version in one revision of a service."""
+    """Ends the rollout of one version in one revision of a service.
+
+    Parameters
+    ----------
+    by_deadline : bool
+        Whether a withdrawal has no other ground than the time. A host that was cut off
+        when the rollout was done sees a missed deadline, so such a withdrawal does not
+        replace a recorded completion.
+    """
 
     service: ServiceName
     revision: int = attrs.field(validator=in_range(0, MAX_OFFSET))
     version: VersionName
     verdict: VerdictKind
     reason: str
+    by_deadline: bool = False
 
 
 @attrs.frozen
--- a/libs/state/tests/test_fold.py
+++ b/libs/state/tests/test_fold.py
@@ -55,8 +55,8 @@
     return LeaseBody("duty", holder, 1000, base)
 
 
-def verdict(revision, kind, version="v2"):
-    return VerdictBody("s", revision, version, kind, "because")
+def verdict(revision, kind, version="v2", by_deadline=False):
+    return VerdictBody("s", revision, version, kind, "because", by_deadline)
 
 
 def entries_of(steps):
@@ -137,6 +137,10 @@
         [publish(0), verdict(1, DONE), verdict(1, WITHDRAWN)],
         Accepted(3),
     ),
+    "withdrawn for the deadline after done": (
+        [publish(0), verdict(1, DONE), verdict(1, WITHDRAWN, by_deadline=True)],
+        OUTDATED,
+    ),
     "done after withdrawn": (
         [publish(0), verdict(1, WITHDRAWN), verdict(1, DONE)],
         OUTDATED,
