--- /dev/null
+++ b/libs/platform/src/waxwingbarrow/platform/_http.py
@@ -0,0 +1,265 @@
+"""HTTP exchanges with a classification of failures by whether a byte was sent."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+from urllib.parse import ParseResult
+
+import aiosonic
+import attrs
+from aiosonic.connection import Connection
+from aiosonic.connectors import TCPConnector
+from aiosonic.exceptions import AiosonicError, ConnectTimeout, HttpParsingError
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+from result import Err, Ok, Result
+
+from waxwingbarrow.core import Failure
+
+# Servers commonly close idle connections after 5 s (uvicorn's default); a request that
+# is written while the server closes is lost without an answer.
+MAX_IDLE_MS = 2_000
+# Raised by aiosonic and asyncio when a connection fails or an answer is malformed.
+# ValueError and EOFError come from a chunk header or a body that ends early.
+EXCHANGE_ERRORS = (AiosonicError, OSError, EOFError, ValueError)
+
+
+@attrs.frozen
+class HttpFailure(Failure):
+    """An exchange ended without a complete answer.
+
+    Parameters
+    ----------
+    reason : str
+        What happened.
+    certainly_not_sent : bool
+        Whether the failure certainly precedes the first byte of the request.
+    """
+
+    reason: str
+    certainly_not_sent: bool = False
+
+    @property
+    def detail(self) -> str:
+        """One sentence that tells a person what is wrong."""
+        return self.reason
+
+
+@attrs.frozen
+class HttpAnswer:
+    """Status, headers and complete body of an answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes = b""
+
+    def read_object(self) -> dict[str, Any] | None:
+        """Return the body as a JSON object, or None if it is not one."""
+        try:
+            data = json.loads(self.body)
+        except ValueError:
+            return None
+        return data if isinstance(data, dict) else None
+
+    def read_retry_after_s(self) -> float | None:
+        """Return the ``Retry-After`` header in seconds, or None if there is none."""
+        try:
+            return max(0.0, float(self.headers["retry-after"]))
+        except (KeyError, ValueError):
+            return None
+
+
+class HttpStream:
+    """Answer whose body is read while it arrives."""
+
+    def __init__(self, response: Any) -> None:
+        self._response = response
+        self.status: int = response.status_code
+        self.headers: Mapping[str, str] = response.headers
+
+    def read_chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over the parts of the body; raises one of ``EXCHANGE_ERRORS``."""
+        chunks: AsyncIterator[bytes] = self._response.iter_bytes()
+        return chunks
+
+    async def read_answer(self) -> HttpAnswer:
+        """Read the rest of the body; raises one of ``EXCHANGE_ERRORS``."""
+        return HttpAnswer(self.status, self.headers, await self._response.content())
+
+
+# With any limit set aiosonic uses asyncio.wait_for, which in Python 3.11 loses a
+# cancellation that arrives when the awaited step has just ended.
+NO_TIMEOUTS = Timeouts(None, None, None, None)
+
+
+class _CheckedConnection(Connection):  # type: ignore[misc]
+    """Connection with a time limit, and with stricter rules for its reuse.
+
+    asyncio keeps a transport open for writing after the end of input, so aiosonic's own
+    check would send the next request into a connection that the server has closed. And
+    aiosonic reuses a connection whose request was cancelled before the answer, so that
+    the next request would get that answer.
+    """
+
+    async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
+        if exc_type is not None:
+            self.keep = False
+        await super().__aexit__(exc_type, exc, tb)
+
+    async def connect(self, *args: Any, **named: Any) -> None:
+        async with asyncio.timeout(self.pool.timeouts.sock_connect):
+            await super().connect(*args, **named)
+
+    def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
+        if self.reader is not None and self.reader.at_eof():
+            return False
+        reusable: bool = super().reuse(urlparsed, verify)
+        return reusable
+
+
+class HttpSession:
+    """Pool of connections to any number of servers.
+
+    Parameters
+    ----------
+    caller : str
+        Value of the ``Caller`` header; the header is left out if empty.
+    connect_timeout_ms : int
+        Limit for establishing a connection.
+    max_connections : int
+        Limit of connections in use at the same time.
+    keep_alive : bool
+        Whether connections are used again. Without it a request can't be lost to a
+        connection that the server closes at the same moment.
+    """
+
+    def __init__(
+        self,
+        *,
+        caller: str = "",
+        connect_timeout_ms: int = 1_000,
+        max_connections: int = 256,
+        keep_alive: bool = True,
+    ) -> None:
+        self._headers = {"Caller": caller} if caller else {}
+        connect_s = connect_timeout_ms / 1000
+        # aiosonic counts the requests of a pool slot, not of a connection, so a limit
+        # above 0 would end reuse of that slot for good once it is reached.
+        config = PoolConfig(
+            size=max_connections,
+            max_conn_requests=None if keep_alive else 0,
+            max_conn_idle_ms=MAX_IDLE_MS,
+        )
+        timeouts = Timeouts(connect_s, None, None, None)
+        self._client = aiosonic.HTTPClient(
+            TCPConnector(
+                pool_configs={":default": config},
+                timeouts=timeouts,
+                connection_cls=_CheckedConnection,
+            )
+        )
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout_ms: int,
+        payload: Any = None,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpAnswer, HttpFailure]:
+        """Send a request and read the complete answer.
+
+        Parameters
+        ----------
+        method, url : str
+            HTTP method and absolute URL.
+        timeout_ms : int
+            Limit for the whole exchange.
+        payload : Any
+            Data to send as JSON; `body` is sent if it is None.
+        body : bytes
+            Bytes to send.
+        headers : Mapping
+            Additional headers.
+
+        Returns
+        -------
+        Result
+            The answer of any status, or why there is none.
+        """
+        try:
+            async with (
+                asyncio.timeout(timeout_ms / 1000),
+                self.stream(
+                    method, url, payload=payload, body=body, headers=headers
+                ) as stream,
+            ):
+                return Ok(await stream.read_answer())
+        except EXCHANGE_ERRORS as error:
+            return Err(classify_error(error, method))
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        *,
+        payload: Any = None,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> AsyncIterator[HttpStream]:
+        """Send a request and give its answer once the headers have arrived.
+
+        Raises
+        ------
+        Exception
+            One of ``EXCHANGE_ERRORS``; see `classify_error`.
+        """
+        sent = {**self._headers, **(headers or {})}
+        if payload is not None:
+            body = json.dumps(payload, separators=(",", ":")).encode()
+            sent["Content-Type"] = "application/json"
+        response = await self._client.request(
+            url,
+            method,
+            headers=sent,
+            data=body or None,
+            stream=True,
+            timeouts=NO_TIMEOUTS,
+        )
+        try:
+            _check_length(response)
+            yield HttpStream(response)
+        finally:
+            await response.aclose()
+
+    async def close(self) -> None:
+        """Close idle connections now and the others when they are released."""
+        await self._client.aclose()
+
+
+def _check_length(response: Any) -> None:
+    """Reject headers that end early, which aiosonic takes for an empty answer."""
+    named = response.chunked or "content-length" in response.headers
+    if not named and response.status_code not in (204, 304):
+        raise HttpParsingError("the answer does not state its length")
+
+
+def classify_error(error: BaseException, method: str) -> HttpFailure:
+    """Decide whether an error of `HttpSession.stream` precedes the first byte.
+
+    Only errors of the connection set-up of a POST count. aiosonic repeats the other
+    methods after a reused connection broke, and a refused second attempt says nothing
+    about the first one.
+    """
+    certain = method == "POST" and isinstance(
+        error,
+        ConnectionRefusedError | ConnectTimeout,
+    )
+    text = str(error)
+    name = type(error).__name__
+    return HttpFailure(f"{name}: {text}" if text else name, certain)
--- /dev/null
+++ b/libs/platform/tests/test_http.py
@@ -0,0 +1,119 @@
+"""Guards against answers that reach the wrong request, and against false "not sent"."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from waxwingbarrow.platform import HttpSession
+from waxwingbarrow.standins import serve
+
+
+async def echo(request: Request) -> JSONResponse:
+    data = await request.json()
+    await asyncio.sleep(data["sleep_s"])
+    return JSONResponse(data)
+
+
+def make_app() -> Starlette:
+    return Starlette(routes=[Route("/", echo, methods=["POST"])])
+
+
+async def test_answer_of_a_timed_out_request_never_reaches_the_next_one():
+    session = HttpSession()
+    async with serve(make_app()) as address:
+        for number in range(5):
+            for sleep_s in (0.0, 0.2):
+                data = {"number": number, "sleep_s": sleep_s}
+                answer = await session.request(
+                    "POST", f"http://{address}/", payload=data, timeout_ms=100
+                )
+                if sleep_s:
+                    assert isinstance(answer, Err)
+                else:
+                    assert answer.unwrap().read_object() == data
+    await session.close()
+
+
+async def test_cancellation_ends_a_request_at_every_step():
+    session = HttpSession()
+    async with serve(make_app()) as address:
+        for steps in range(60):
+            task = asyncio.create_task(
+                session.request(
+                    "POST",
+                    f"http://{address}/",
+                    payload={"sleep_s": 5},
+                    timeout_ms=9000,
+                )
+            )
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await asyncio.wait_for(task, 1)
+    await session.close()
+
+
+async def test_connection_closed_by_the_server_is_not_reused():
+    """A restarted server must get the request, not a socket of its predecessor."""
+    session = HttpSession()
+    payload = {"sleep_s": 0}
+    async with serve(make_app()) as address:
+        await session.request(
+            "POST", f"http://{address}/", payload=payload, timeout_ms=500
+        )
+    await asyncio.sleep(0.02)
+    match await session.request(
+        "POST", f"http://{address}/", payload=payload, timeout_ms=500
+    ):
+        case Err(failure):
+            assert failure.certainly_not_sent
+        case Ok(_):
+            pytest.fail("The server was down.")
+    async with serve(make_app(), int(address.split(":")[1])) as address:
+        answer = await session.request(
+            "POST", f"http://{address}/", payload=payload, timeout_ms=500
+        )
+        assert answer.is_ok()
+    await session.close()
+
+
+BROKEN_ANSWERS = {
+    "closed after reading": b"",
+    "cut status line": b"HTTP/1.1 20",
+    "cut headers": b"HTTP/1.1 200 OK\r\ncontent-le",
+    "cut body": b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc",
+    "cut chunk header": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "cut chunk": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+    "bad chunk": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    "not HTTP": b"hello\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", BROKEN_ANSWERS)
+@pytest.mark.parametrize("abort", [False, True])
+async def test_request_that_left_is_never_reported_as_not_sent(name: str, abort: bool):
+    async def break_off(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        await reader.read(1)
+        writer.write(BROKEN_ANSWERS[name])
+        await asyncio.sleep(0.02)
+        if abort:
+            writer.transport.abort()
+        writer.close()
+
+    server = await asyncio.start_server(break_off, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    session = HttpSession()
+    for _ in range(3):
+        answer = await session.request(
+            "POST", f"http://127.0.0.1:{port}/", payload={}, timeout_ms=300
+        )
+        failure = answer.unwrap_err()
+        assert not failure.certainly_not_sent
+    await session.close()
+    server.close()
