--- a/libs/routing/src/waxwingbarrow/routing/_choice.py
+++ b/libs/routing/src/waxwingbarrow/routing/_choice.py
@@ -179,7 +179,7 @@
         1000 * (request.prompt_tokens - max(float(matched), assumed)) / prefill_rate
     )
     freshness = _compute_freshness(view, policy, now)
-    wait_ms = freshness * _estimate_wait_ms(view, request, prefill_rate)
+    wait_ms = freshness * _estimate_wait_ms(view, request, prefill_rate, policy)
     first_token_ms = wait_ms + prefill_ms
     penalty_ms = policy.in_flight_ms * view.in_flight * freshness
     if view.data_centre != policy.data_centre:
@@ -194,10 +194,14 @@
 
 
 def _estimate_wait_ms(
-    view: UpstreamView, request: RouteRequest, prefill_rate: float
+    view: UpstreamView,
+    request: RouteRequest,
+    prefill_rate: float,
+    policy: RoutingPolicy,
 ) -> float:
     """Time for the prompts ahead and, where the batch is full, for a free slot."""
-    wait_ms = 1000 * view.queued_tokens / prefill_rate
+    reported_tokens = view.queued_tokens * policy.reported_queue_percent / 100
+    wait_ms = 1000 * (reported_tokens + view.own_queued_tokens) / prefill_rate
     beyond = view.in_flight - view.batch_limit + 1
     if beyond > 0:
         decode_rate = view.decode_tokens_per_s or UNKNOWN_DECODE_TOKENS_PER_S
--- a/libs/routing/src/waxwingbarrow/routing/_views.py
+++ b/libs/routing/src/waxwingbarrow/routing/_views.py
@@ -43,7 +43,10 @@
         Requests that run or wait there: the last report plus this host's own
         requests sent since.
     queued_tokens : int
-        Prompt tokens that wait for prefill, counted like `in_flight`.
+        Prompt tokens that waited for prefill at the last report.
+    own_queued_tokens : int
+        Prompt tokens that this host sent since that report and that have not led to a
+        first token yet.
     prefill_tokens_per_s : float
         Prompt tokens processed per second; 0 for a plain service.
     decode_tokens_per_s : float
@@ -69,6 +72,7 @@
     incarnation: Incarnation = Incarnation(0, 0)
     in_flight: int = 0
     queued_tokens: int = 0
+    own_queued_tokens: int = 0
     prefill_tokens_per_s: float = 0.0
     decode_tokens_per_s: float = 0.0
     batch_limit: int = 1
@@ -132,6 +136,10 @@
     near_best_ms : float
         Candidates within this distance of the best are equivalent; one is picked at
         random, so hosts with the same lagging load reports do not all pick the same.
+    reported_queue_percent : float
+        Weight of the reported queue against this host's own. A queue is mostly shorter
+        than the time between reports, so a reported one has partly drained when it is
+        used; at full weight, all hosts avoid an upstream that is idle again.
     load_stale_ms : int
         Age from which reported load fades; after twice this age it counts as 0.
     """
@@ -147,6 +155,9 @@
     home_match_percent: float = attrs.field(default=90.0, validator=in_range(0, 100))
     home_block: int = attrs.field(default=32, validator=in_range(0, 10_000))
     near_best_ms: float = attrs.field(default=1.0, validator=in_range(0, 1e4))
+    reported_queue_percent: float = attrs.field(
+        default=50.0, validator=in_range(0, 100)
+    )
     load_stale_ms: int = attrs.field(default=5_000, validator=in_range(1, 3_600_000))
 
 
