Choose hosts and order weight loads

Cause: the choice of hosts had no library. Ruled out: a search over all numbers of hosts, which takes seconds for a few workers, and a greedy choice without exchanges, which exceeds the limit on reclaimable hosts.

--- a/libs/capacity/src/waxwingbarrow/capacity/__init__.py
+++ b/libs/capacity/src/waxwingbarrow/capacity/__init__.py
@@ -1,1 +1,113 @@
 """Choice of hosts, weight loads and fenced orders."""
+
+from waxwingbarrow.capacity._actions import (
+    CapacityPlan,
+    Keep,
+    KeepReason,
+    Shortfall,
+    ShortfallReason,
+    Start,
+    StartReason,
+    Stop,
+    StopPhase,
+    StopReason,
+)
+from waxwingbarrow.capacity._backoff import (
+    BackoffPolicy,
+    StartBackoff,
+)
+from waxwingbarrow.capacity._book import (
+    OrderBook,
+)
+from waxwingbarrow.capacity._hosts import (
+    CapacityPolicy,
+    HostList,
+    HostOffer,
+    HostState,
+    OfferKey,
+    OfferList,
+    RunningHost,
+    ServiceNeed,
+    ZoneLoss,
+)
+from waxwingbarrow.capacity._loads import (
+    LoadRequest,
+    WeightLoad,
+    plan_weight_loads,
+)
+from waxwingbarrow.capacity._orders import (
+    DrainHost,
+    LoadVersion,
+    NoLease,
+    Order,
+    OrderContent,
+    OrderDone,
+    OrderEntry,
+    OrderFailure,
+    OrderNotSent,
+    OrderPolicy,
+    OrderRefused,
+    OrderResult,
+    OrderStale,
+    OrderState,
+    OrderUnsettled,
+    ReturnHost,
+    StartHost,
+    TakeoverPending,
+    TargetBusy,
+)
+from waxwingbarrow.capacity._planning import (
+    plan_capacity,
+)
+from waxwingbarrow.capacity._targets import (
+    compute_needed_workers,
+)
+
+__all__ = [
+    "BackoffPolicy",
+    "CapacityPlan",
+    "CapacityPolicy",
+    "DrainHost",
+    "HostList",
+    "HostOffer",
+    "HostState",
+    "Keep",
+    "KeepReason",
+    "LoadRequest",
+    "LoadVersion",
+    "NoLease",
+    "OfferKey",
+    "OfferList",
+    "Order",
+    "OrderBook",
+    "OrderContent",
+    "OrderDone",
+    "OrderEntry",
+    "OrderFailure",
+    "OrderNotSent",
+    "OrderPolicy",
+    "OrderRefused",
+    "OrderResult",
+    "OrderStale",
+    "OrderState",
+    "OrderUnsettled",
+    "ReturnHost",
+    "RunningHost",
+    "ServiceNeed",
+    "Shortfall",
+    "ShortfallReason",
+    "Start",
+    "StartBackoff",
+    "StartHost",
+    "StartReason",
+    "Stop",
+    "StopPhase",
+    "StopReason",
+    "TakeoverPending",
+    "TargetBusy",
+    "WeightLoad",
+    "ZoneLoss",
+    "compute_needed_workers",
+    "plan_capacity",
+    "plan_weight_loads",
+]
--- /dev/null
+++ b/libs/capacity/src/waxwingbarrow/capacity/_actions.py
@@ -0,0 +1,126 @@
+"""What a capacity plan consists of."""
+
+import enum
+
+import attrs
+
+from waxwingbarrow.capacity._hosts import HostOffer, RunningHost
+from waxwingbarrow.core import DataCentre, ServiceName, VersionName
+
+
+class StartReason(enum.StrEnum):
+    """Why a host is started."""
+
+    DEMAND = "demand"
+    SPARE = "spare for the loss of a zone"
+    CHEAPER = "replaces a dearer host"
+
+
+class StopPhase(enum.StrEnum):
+    """Step of a stop: a serving host drains, an idle one is returned to the cloud."""
+
+    DRAIN = "drain"
+    RETURN = "return"
+
+
+class StopReason(enum.StrEnum):
+    """Why a host is stopped."""
+
+    NOT_NEEDED = "not needed"
+    REPLACED = "a cheaper set of hosts serves"
+    DRAINED = "drained"
+    START_OVERDUE = "start overdue"
+
+
+class KeepReason(enum.StrEnum):
+    """Why a host is kept."""
+
+    NEEDED = "needed"
+    WAITS_FOR_REPLACEMENT = "replacement does not serve yet"
+    SHORTFALL = "constraints not met"
+    CLOUD_UNREACHABLE = "cloud API unreachable"
+    INFORMATION_OLD = "information old"
+    RECLAIMED = "the cloud takes it"
+    DRAINING = "drains"
+    DRAIN_OVERDUE = "drain overdue"
+
+
+class ShortfallReason(enum.StrEnum):
+    """Which constraint the offered hosts cannot meet."""
+
+    NO_SPARE = "a zone's loss is not covered"
+    RECLAIMS_ONLY = "only a wave of reclaims is covered"
+    DEMAND = "too few hosts for the demand"
+    CLOUD_UNREACHABLE = "cloud API unreachable"
+
+
+@attrs.frozen
+class Start:
+    """Start a host from an offer for one worker."""
+
+    offer: HostOffer
+    service: ServiceName
+    version: VersionName
+    reason: StartReason
+
+
+@attrs.frozen
+class Stop:
+    """Drain a host, or return a host without requests."""
+
+    host: RunningHost
+    phase: StopPhase
+    reason: StopReason
+
+
+@attrs.frozen
+class Keep:
+    """Leave a host as it is."""
+
+    host: RunningHost
+    reason: KeepReason
+
+
+@attrs.frozen
+class Shortfall:
+    """A constraint of a need that the plan does not meet.
+
+    Parameters
+    ----------
+    needed : int
+        Workers that must remain after the loss of a zone.
+    remaining : int
+        Workers that would remain when the plan is carried out.
+    """
+
+    service: ServiceName
+    version: VersionName
+    data_centre: DataCentre
+    reason: ShortfallReason
+    needed: int
+    remaining: int
+
+
+@attrs.frozen
+class CapacityPlan:
+    """Decision of `plan_capacity`.
+
+    Parameters
+    ----------
+    starts : tuple of Start
+        Hosts to start, most urgent first.
+    stops : tuple of Stop
+        Hosts to drain or to return.
+    keeps : tuple of Keep
+        All other hosts.
+    shortfalls : tuple of Shortfall
+        Constraints that the offers cannot meet at present.
+    cost_per_hour : float
+        Cost of the wanted hosts at present prices.
+    """
+
+    starts: tuple[Start, ...]
+    stops: tuple[Stop, ...]
+    keeps: tuple[Keep, ...]
+    shortfalls: tuple[Shortfall, ...]
+    cost_per_hour: float
--- /dev/null
+++ b/libs/capacity/src/waxwingbarrow/capacity/_book.py
@@ -0,0 +1,382 @@
+"""Orders of the lease holder of one data centre."""
+
+import attrs
+from result import Err, Ok, Result
+
+from waxwingbarrow.capacity._hosts import HostList, HostState, RunningHost
+from waxwingbarrow.capacity._orders import (
+    DrainHost,
+    LoadVersion,
+    NoLease,
+    Order,
+    OrderContent,
+    OrderDone,
+    OrderEntry,
+    OrderFailure,
+    OrderNotSent,
+    OrderPolicy,
+    OrderRefused,
+    OrderResult,
+    OrderStale,
+    OrderState,
+    OrderUnsettled,
+    ReturnHost,
+    StartHost,
+    TakeoverPending,
+    TargetBusy,
+)
+from waxwingbarrow.core import DataCentre, HostId, Instant
+
+
+@attrs.frozen
+class _Tenure:
+    """Time in which this process holds the lease without interruption."""
+
+    first_fencing: int
+    fencing: int
+    valid_until_mono_ms: int
+    began_at: Instant
+
+
+class OrderBook:
+    """Orders that this process gives under the lease ``capacity/<data centre>``.
+
+    An order whose outcome is unknown is repeated under its id until the outcome is
+    known; until then the same host gets no other order. A new lease holder gives no
+    order as long as one of its predecessor may still take effect or is not yet
+    visible in the host list; only an upstream that checks fencing numbers gets orders
+    at once, because it refuses the predecessor's from then on.
+
+    Parameters
+    ----------
+    data_centre : DataCentre
+        Data centre of the lease.
+    policy : OrderPolicy
+        Constants.
+
+    Notes
+    -----
+    The book is not stored. After a restart the process needs a new lease record and
+    therefore waits like any other new holder.
+    """
+
+    def __init__(self, data_centre: DataCentre, policy: OrderPolicy) -> None:
+        self._data_centre = data_centre
+        self._policy = policy
+        self._tenure: _Tenure | None = None
+        self._entries: dict[str, OrderEntry] = {}
+        self._sequence = 0
+        self._list_read_at: Instant | None = None
+
+    @property
+    def entries(self) -> tuple[OrderEntry, ...]:
+        """Open orders and those settled recently, oldest first."""
+        return tuple(self._entries.values())
+
+    def note_lease(
+        self, fencing: int, base_fencing: int, valid_until_mono_ms: int, now: Instant
+    ) -> None:
+        """Note a lease record of this process that the fold has accepted.
+
+        Parameters
+        ----------
+        fencing : int
+            Fencing number of the record.
+        base_fencing : int
+            Fencing number on top of which it was accepted. If it is this process's
+            present number, nobody else held the lease in between.
+        valid_until_mono_ms : int
+            End of the lease on this host's monotonic clock.
+        now : Instant
+            Present time.
+        """
+        tenure = self._tenure
+        if tenure is not None and fencing <= tenure.fencing:
+            return
+        if tenure is not None and base_fencing == tenure.fencing:
+            self._tenure = attrs.evolve(
+                tenure, fencing=fencing, valid_until_mono_ms=valid_until_mono_ms
+            )
+            return
+        self._tenure = _Tenure(fencing, fencing, valid_until_mono_ms, now)
+        self._sequence = 0
+        # Another holder may have acted since these were decided.
+        for entry in list(self._entries.values()):
+            if entry.is_open:
+                self._settle(entry, OrderState.OBSOLETE, now)
+
+    def note_lease_lost(self) -> None:
+        """Note that another process holds the lease, or that it was released."""
+        self._tenure = None
+
+    def holds_lease(self, now: Instant) -> bool:
+        """Return whether this process may give orders."""
+        tenure = self._tenure
+        return tenure is not None and now.mono_ms < tenure.valid_until_mono_ms
+
+    def add(
+        self, content: OrderContent, now: Instant
+    ) -> Result[OrderEntry, OrderFailure]:
+        """Add an order.
+
+        Parameters
+        ----------
+        content : OrderContent
+            What to do. The same content for the same host as that of an open order
+            gives that order; each `StartHost` is a new order.
+        now : Instant
+            Present time.
+
+        Returns
+        -------
+        Result
+            The entry, or `NoLease`, `TakeoverPending` or `TargetBusy`. After a failure
+            the plan is made anew later, from newer information.
+        """
+        tenure = self._tenure
+        if tenure is None or not self.holds_lease(now):
+            return Err(NoLease())
+        if not self._is_takeover_settled(content, tenure, now):
+            return Err(TakeoverPending())
+        if not isinstance(content, StartHost):
+            for entry in list(self._entries.values()):
+                if entry.target != content.host:
+                    continue
+                if entry.is_open and entry.content == content:
+                    return Ok(entry)
+                if isinstance(content, ReturnHost):
+                    # No other order can have an effect on a host that is gone.
+                    if entry.is_open:
+                        self._settle(entry, OrderState.OBSOLETE, now)
+                elif entry.is_open or entry.is_uncertain(now):
+                    return Err(TargetBusy(content.host, entry.order_id))
+        self._sequence += 1
+        entry = OrderEntry(
+            order_id=f"{self._data_centre}-{tenure.first_fencing}-{self._sequence}",
+            content=content,
+            state=OrderState.WAITING,
+            added_at=now,
+            due_at=now,
+        )
+        self._entries[entry.order_id] = entry
+        return Ok(entry)
+
+    def withdraw(self, order_id: str, now: Instant) -> bool:
+        """Withdraw an order that was certainly never sent; return whether it was."""
+        entry = self._entries.get(order_id)
+        if entry is None or entry.state is not OrderState.WAITING:
+            return False
+        self._settle(entry, OrderState.OBSOLETE, now)
+        return True
+
+    def next_orders(self, now: Instant) -> tuple[Order, ...]:
+        """Return the orders to send now, and count them as sent."""
+        self._drop_settled(now)
+        tenure = self._tenure
+        if tenure is None or not self.holds_lease(now):
+            return ()
+        orders = []
+        for entry in list(self._entries.values()):
+            if self._has_timed_out(entry, now):
+                entry = self._mark_unsettled(entry, now)
+            if entry.state not in (OrderState.WAITING, OrderState.UNSETTLED):
+                continue
+            if entry.due_at.mono_ms > now.mono_ms:
+                continue
+            entry = attrs.evolve(
+                entry,
+                state=OrderState.IN_FLIGHT,
+                attempts=entry.attempts + 1,
+                sent_at=now,
+            )
+            self._entries[entry.order_id] = entry
+            orders.append(
+                Order(
+                    order_id=entry.order_id,
+                    fencing=tenure.fencing,
+                    content=entry.content,
+                    attempt=entry.attempts,
+                    send_before_mono_ms=tenure.valid_until_mono_ms,
+                )
+            )
+        return tuple(orders)
+
+    def note_result(
+        self, order_id: str, result: OrderResult, now: Instant
+    ) -> OrderEntry | None:
+        """Note the answer to an order; return its entry, None if it is unknown."""
+        entry = self._entries.get(order_id)
+        if entry is None or not entry.is_open:
+            return entry
+        match result:
+            case OrderDone(host):
+                answered = attrs.evolve(entry, sent_at=None, host=host)
+                return self._settle(answered, OrderState.DONE, now)
+            case OrderRefused() if entry.is_uncertain(now):
+                # An earlier attempt may still arrive; only a refusal after that counts.
+                return self._retry(entry, OrderState.UNSETTLED, now)
+            case OrderRefused():
+                answered = attrs.evolve(entry, sent_at=None)
+                return self._settle(answered, OrderState.REFUSED, now)
+            case OrderStale(known) if self._is_own_fencing(known):
+                # A repetition with a renewed lease's number overtook this attempt.
+                return self._mark_unsettled(entry, now)
+            case OrderStale():
+                self._tenure = None
+                return self._settle(entry, OrderState.OBSOLETE, now)
+            case OrderNotSent():
+                never = entry.uncertain_until is None
+                state = OrderState.WAITING if never else OrderState.UNSETTLED
+                return self._retry(entry, state, now)
+            case OrderUnsettled():
+                return self._mark_unsettled(entry, now)
+
+    def note_hosts(self, listed: HostList, now: Instant) -> None:
+        """Note a new host list.
+
+        An order to an upstream that was replaced by a newer run, or to a host that is
+        gone, is obsolete: repeated, it would act on a process it was not meant for.
+        """
+        if listed.read_at is None:
+            return
+        if self._list_read_at is not None and listed.read_at < self._list_read_at:
+            return
+        self._list_read_at = listed.read_at
+        hosts = {host.host: host for host in listed.hosts}
+        for entry in list(self._entries.values()):
+            if entry.target is None or not entry.is_open:
+                continue
+            if entry.added_at.mono_ms >= listed.read_at.mono_ms:
+                continue
+            host = hosts.get(entry.target)
+            if host is None:
+                returned = isinstance(entry.content, ReturnHost) and entry.attempts > 0
+                state = OrderState.DONE if returned else OrderState.OBSOLETE
+                self._settle(entry, state, now)
+            elif _is_replaced(entry.content, host):
+                self._settle(entry, OrderState.OBSOLETE, now)
+
+    def overlay(self, listed: HostList, now: Instant) -> HostList:
+        """Return a host list with the effects of orders that it does not show yet.
+
+        Without these a plan would start a second host while the first is on its way,
+        or drain a second one in place of the first.
+        """
+        hosts = {host.host: host for host in listed.hosts}
+        for entry in self._entries.values():
+            if isinstance(entry.content, StartHost):
+                started = self._describe_start(entry, entry.content, now)
+                if started is not None:
+                    hosts.setdefault(started.host, started)
+            elif entry.target in hosts and self._is_effective(entry):
+                host = hosts[entry.target]
+                hosts[host.host] = self._change_host(entry, host, listed)
+        return attrs.evolve(listed, hosts=tuple(hosts.values()))
+
+    def _describe_start(
+        self, entry: OrderEntry, content: StartHost, now: Instant
+    ) -> RunningHost | None:
+        if entry.settled_at is not None:
+            visible_ms = entry.settled_at.mono_ms + self._policy.list_lag_ms
+            if entry.state is not OrderState.DONE or now.mono_ms >= visible_ms:
+                return None
+        return RunningHost(
+            host=entry.host or HostId(f"order {entry.order_id}"),
+            offer=content.offer,
+            service=content.service,
+            version=content.version,
+            state=HostState.STARTING,
+        )
+
+    def _is_effective(self, entry: OrderEntry) -> bool:
+        return entry.is_open or entry.state is OrderState.DONE
+
+    def _change_host(
+        self, entry: OrderEntry, host: RunningHost, listed: HostList
+    ) -> RunningHost:
+        if _is_replaced(entry.content, host):
+            return host
+        settled, read_at = entry.settled_at, listed.read_at
+        shown = (
+            settled is not None
+            and read_at is not None
+            and read_at.mono_ms > settled.mono_ms
+        )
+        match entry.content:
+            case DrainHost():
+                # Requests counted before the drain took effect may not be the last.
+                in_flight = host.in_flight if shown else None
+                return attrs.evolve(host, state=HostState.LEAVING, in_flight=in_flight)
+            case ReturnHost():
+                return attrs.evolve(host, state=HostState.LEAVING, in_flight=None)
+            case LoadVersion(service=service, version=version) if not shown:
+                return attrs.evolve(
+                    host, state=HostState.LOADING, service=service, version=version
+                )
+        return host
+
+    def _is_takeover_settled(
+        self, content: OrderContent, tenure: _Tenure, now: Instant
+    ) -> bool:
+        wait_ms = self._policy.order_timeout_ms
+        match content:
+            case DrainHost(checks_fencing=True) | LoadVersion(checks_fencing=True):
+                return True
+            case StartHost():
+                # A host that is still starting is not in the list yet.
+                wait_ms += self._policy.list_lag_ms
+        settled_ms = tenure.began_at.mono_ms + wait_ms
+        read_at = self._list_read_at
+        return read_at is not None and read_at.mono_ms >= settled_ms
+
+    def _is_own_fencing(self, known: int | None) -> bool:
+        tenure = self._tenure
+        return tenure is not None and known is not None and known <= tenure.fencing
+
+    def _has_timed_out(self, entry: OrderEntry, now: Instant) -> bool:
+        if entry.state is not OrderState.IN_FLIGHT or entry.sent_at is None:
+            return False
+        return now.mono_ms >= entry.sent_at.mono_ms + self._policy.order_timeout_ms
+
+    def _mark_unsettled(self, entry: OrderEntry, now: Instant) -> OrderEntry:
+        """Note that the last attempt got no answer."""
+        return self._retry(self._note_uncertainty(entry), OrderState.UNSETTLED, now)
+
+    def _retry(self, entry: OrderEntry, state: OrderState, now: Instant) -> OrderEntry:
+        pause_ms = min(
+            self._policy.retry_first_ms * 2 ** min(max(entry.attempts - 1, 0), 30),
+            self._policy.retry_limit_ms,
+        )
+        entry = attrs.evolve(entry, state=state, due_at=now.plus_ms(pause_ms))
+        self._entries[entry.order_id] = entry
+        return entry
+
+    def _settle(self, entry: OrderEntry, state: OrderState, now: Instant) -> OrderEntry:
+        if entry.state is OrderState.IN_FLIGHT:
+            entry = self._note_uncertainty(entry)
+        entry = attrs.evolve(entry, state=state, settled_at=now)
+        self._entries[entry.order_id] = entry
+        return entry
+
+    def _note_uncertainty(self, entry: OrderEntry) -> OrderEntry:
+        if entry.sent_at is None:
+            return entry
+        until = entry.sent_at.plus_ms(self._policy.order_timeout_ms)
+        return attrs.evolve(entry, uncertain_until=until)
+
+    def _drop_settled(self, now: Instant) -> None:
+        """Forget settled orders whose effect the host list must show by now."""
+        keep_ms = max(self._policy.keep_settled_ms, self._policy.list_lag_ms)
+        for entry in list(self._entries.values()):
+            settled = entry.settled_at
+            if settled is not None and now.mono_ms >= settled.mono_ms + keep_ms:
+                del self._entries[entry.order_id]
+
+
+def _is_replaced(content: OrderContent, host: RunningHost) -> bool:
+    """Return whether a newer run of the upstream than the order's is listed."""
+    match content:
+        case DrainHost(incarnation=incarnation) | LoadVersion(incarnation=incarnation):
+            return host.incarnation is not None and host.incarnation > incarnation
+        case _:
+            return False
--- /dev/null
+++ b/libs/capacity/src/waxwingbarrow/capacity/_loads.py
@@ -0,0 +1,191 @@
+"""Order of weight loads under the rate limit of the weight store."""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from waxwingbarrow.core import HostId, Instant, ServiceName, VersionName, in_range
+
+
+@attrs.frozen(kw_only=True)
+class LoadRequest:
+    """A host that has to load the weights of a version.
+
+    Parameters
+    ----------
+    loaded_bytes : int
+        Part of the weights that is already loaded.
+    serving_workers, needed_workers : int
+        Workers of the version that serve now, and that serve its demand.
+    must_serve_by : Instant or None
+        When the version has to serve there, for example the start of a rollout.
+    not_before : Instant or None
+        End of the pause that the store asked this host for.
+    host_rate_bytes_per_s : float or None
+        Rate at which the host can load; None if only the store limits it.
+    """
+
+    host: HostId
+    service: ServiceName
+    version: VersionName
+    model_bytes: int = attrs.field(validator=in_range(0, 10**15))
+    loaded_bytes: int = attrs.field(default=0, validator=in_range(0, 10**15))
+    serving_workers: int = 0
+    needed_workers: int = 0
+    must_serve_by: Instant | None = None
+    not_before: Instant | None = None
+    host_rate_bytes_per_s: float | None = None
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Bytes still to load."""
+        return max(0, self.model_bytes - self.loaded_bytes)
+
+
+@attrs.frozen
+class WeightLoad:
+    """When a host loads its weights.
+
+    Parameters
+    ----------
+    start_at, finish_at : Instant or None
+        Begin and end of the load; None if the store's rate does not allow it.
+    late : bool
+        Whether the load ends after `must_serve_by`.
+    """
+
+    request: LoadRequest
+    start_at: Instant | None
+    finish_at: Instant | None
+    late: bool
+
+
+@attrs.define
+class _Progress:
+    request: LoadRequest
+    remaining_bytes: float
+    ready_s: float
+    start_s: float | None = None
+    finish_s: float | None = None
+
+
+def plan_weight_loads(
+    loads: Iterable[LoadRequest], store_rate_bytes_per_s: float, now: Instant
+) -> tuple[WeightLoad, ...]:
+    """Decide which host loads which version first.
+
+    Parameters
+    ----------
+    loads : iterable of LoadRequest
+        Loads that run or wait.
+    store_rate_bytes_per_s : float
+        Rate limit of the weight store, in bytes per second over all hosts.
+    now : Instant
+        Present time.
+
+    Returns
+    -------
+    tuple of WeightLoad
+        The loads, most urgent first. Each gets the store's whole rate as far as its
+        host can use it, and the next one what is left: loads that share the rate
+        equally all end late.
+
+    Notes
+    -----
+    Loads of a version that lacks workers for its demand come first, then the earliest
+    `must_serve_by`, then versions with the fewest workers, then the shortest load.
+    """
+    queue = [
+        _Progress(request, request.remaining_bytes, _compute_pause_s(request, now))
+        for request in _sort_loads(loads)
+    ]
+    _simulate(queue, max(store_rate_bytes_per_s, 0.0))
+    return tuple(_describe(item, now) for item in queue)
+
+
+def _sort_loads(loads: Iterable[LoadRequest]) -> list[LoadRequest]:
+    by_version: dict[tuple[ServiceName, VersionName], list[LoadRequest]] = defaultdict(
+        list
+    )
+    for load in loads:
+        by_version[load.service, load.version].append(load)
+    ranked = []
+    for copies in by_version.values():
+        copies.sort(key=lambda load: (_find_due_ms(load), load.remaining_bytes))
+        for index, load in enumerate(copies):
+            workers = load.serving_workers + index
+            spare = workers >= load.needed_workers
+            key = (
+                spare,
+                _find_due_ms(load),
+                workers,
+                load.remaining_bytes,
+                load.host,
+            )
+            ranked.append((key, load))
+    return [load for _, load in sorted(ranked, key=lambda item: item[0])]
+
+
+def _simulate(queue: Sequence[_Progress], store_rate: float) -> None:
+    """Advance from one end of a load or pause to the next."""
+    at_s = 0.0
+    while True:
+        open_loads = [item for item in queue if item.finish_s is None]
+        rates = _divide_rate(
+            [item for item in open_loads if item.ready_s <= at_s], store_rate
+        )
+        steps = [
+            item.remaining_bytes / rate if item.remaining_bytes else 0.0
+            for item, rate in rates
+        ]
+        steps += [item.ready_s - at_s for item in open_loads if item.ready_s > at_s]
+        if not steps:
+            return
+        step_s = min(steps)
+        for item, rate in rates:
+            item.start_s = at_s if item.start_s is None else item.start_s
+            # Rounding must not leave a load that takes a step of no length.
+            if item.remaining_bytes <= rate * step_s * (1 + 1e-9) + 1e-6:
+                item.remaining_bytes = 0.0
+                item.finish_s = at_s + step_s
+            else:
+                item.remaining_bytes -= rate * step_s
+        at_s += step_s
+
+
+def _divide_rate(
+    loads: Iterable[_Progress], store_rate: float
+) -> list[tuple[_Progress, float]]:
+    rates = []
+    left = store_rate
+    for item in loads:
+        host_rate = item.request.host_rate_bytes_per_s
+        rate = left if host_rate is None else min(host_rate, left)
+        if rate > 0 or not item.remaining_bytes:
+            rates.append((item, rate))
+            left -= rate if item.remaining_bytes else 0.0
+    return rates
+
+
+def _describe(item: _Progress, now: Instant) -> WeightLoad:
+    start_at = None if item.start_s is None else _add_s(now, item.start_s)
+    finish_at = None if item.finish_s is None else _add_s(now, item.finish_s)
+    due = item.request.must_serve_by
+    late = due is not None and (finish_at is None or finish_at.mono_ms > due.mono_ms)
+    return WeightLoad(item.request, start_at, finish_at, late)
+
+
+def _add_s(now: Instant, duration_s: float) -> Instant:
+    return now.plus_ms(math.ceil(duration_s * 1000 - 1e-6))
+
+
+def _compute_pause_s(load: LoadRequest, now: Instant) -> float:
+    if load.not_before is None:
+        return 0.0
+    return max(0, load.not_before.mono_ms - now.mono_ms) / 1000
+
+
+def _find_due_ms(load: LoadRequest) -> float:
+    return math.inf if load.must_serve_by is None else load.must_serve_by.mono_ms
--- /dev/null
+++ b/libs/capacity/tests/test_loads.py
@@ -0,0 +1,174 @@
+"""Guards against weight loads that delay what must serve, and against hasty retries."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waxwingbarrow.capacity import (
+    BackoffPolicy,
+    HostOffer,
+    LoadRequest,
+    OfferKey,
+    StartBackoff,
+    plan_weight_loads,
+)
+from waxwingbarrow.core import Instant
+
+NOW = Instant(1_700_000_000_000, 50_000)
+
+
+def load(host, version="v1", size=1_000, due_ms=None, wait_ms=0, **other):
+    return LoadRequest(
+        host=host,
+        service="care",
+        version=version,
+        model_bytes=size,
+        must_serve_by=None if due_ms is None else NOW.plus_ms(due_ms),
+        not_before=NOW.plus_ms(wait_ms) if wait_ms else None,
+        **other,
+    )
+
+
+LOAD_CASES = [
+    # (failure guarded against, loads, rate, finish in ms by host in planned order)
+    (
+        "loads that share the rate all end late",
+        [load("h1"), load("h2")],
+        1_000,
+        {"h1": 1_000, "h2": 2_000},
+    ),
+    (
+        "a spare loads before the only worker of a version",
+        [
+            load("h1", serving_workers=2, needed_workers=2, size=10),
+            load("h2", "v2", needed_workers=1),
+        ],
+        1_000,
+        {"h2": 1_000, "h1": 1_010},
+    ),
+    (
+        "a rollout's version misses its start",
+        [load("h1", size=10), load("h2", "v2", due_ms=1_500)],
+        1_000,
+        {"h2": 1_000, "h1": 1_010},
+    ),
+    (
+        "second copies of one version precede the first of another",
+        [
+            load("h1", needed_workers=2),
+            load("h2", needed_workers=2),
+            load("h3", "v2", needed_workers=1, size=1_500),
+        ],
+        1_000,
+        {"h1": 1_000, "h3": 2_500, "h2": 3_500},
+    ),
+    (
+        "the rest of a load starts anew",
+        [load("h1", loaded_bytes=900)],
+        1_000,
+        {"h1": 100},
+    ),
+    (
+        "a slow host wastes the store's rate",
+        [load("h1", host_rate_bytes_per_s=400.0), load("h2", size=1_200)],
+        1_000,
+        {"h1": 2_500, "h2": 2_000},
+    ),
+    (
+        "a host that was told to wait blocks the others",
+        [load("h1", wait_ms=500), load("h2", size=2_000)],
+        1_000,
+        {"h1": 1_500, "h2": 3_000},
+    ),
+    ("a load of nothing waits", [load("h1", size=0)], 1_000, {"h1": 0}),
+    ("a closed store is divided by", [load("h1")], 0, {"h1": None}),
+]
+
+
+@pytest.mark.parametrize(
+    ("guards", "loads", "rate", "expected"), LOAD_CASES, ids=[c[0] for c in LOAD_CASES]
+)
+def test_loads(guards, loads, rate, expected):
+    planned = plan_weight_loads(loads, rate, NOW)
+    finish = {
+        item.request.host: item.finish_at and item.finish_at.mono_ms - NOW.mono_ms
+        for item in planned
+    }
+    assert list(finish.items()) == list(expected.items())
+
+
+def test_late_load_is_reported():
+    planned = plan_weight_loads([load("h1", due_ms=999)], 1_000, NOW)
+    assert planned[0].late
+    assert plan_weight_loads([load("h1", due_ms=999)], 0, NOW)[0].late
+
+
+LOADS = st.lists(
+    st.builds(
+        load,
+        host=st.uuids().map(str),
+        version=st.sampled_from(["v1", "v2", "v3"]),
+        size=st.integers(0, 10**6),
+        due_ms=st.none() | st.integers(0, 10**6),
+        wait_ms=st.integers(0, 5_000),
+        needed_workers=st.integers(0, 3),
+        host_rate_bytes_per_s=st.none() | st.floats(1, 1e6),
+    ),
+    max_size=8,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(LOADS, st.floats(1, 1e6))
+def test_rate_limit_is_kept_and_no_rate_is_wasted(loads, rate):
+    planned = plan_weight_loads(loads, rate, NOW)
+    assert {item.request.host for item in planned} == {item.host for item in loads}
+    total = sum(item.model_bytes for item in loads)
+    ends = [item.finish_at.mono_ms - NOW.mono_ms for item in planned]
+    assert max(ends, default=0) >= total / rate * 1_000 - 1
+    slowest = sum(
+        item.model_bytes / min(rate, item.host_rate_bytes_per_s or rate)
+        for item in loads
+    )
+    assert max(ends, default=0) <= 5_000 + slowest * 1_000 + 1
+    for item in planned:
+        if item.request.not_before is not None:
+            assert item.start_at.mono_ms >= item.request.not_before.mono_ms
+
+
+KEY = OfferKey("north", "a", "m1", True)
+
+
+def test_pause_doubles_to_its_limit_and_is_forgotten():
+    # Guards against a cloud API that is asked for the same missing host every second.
+    policy = BackoffPolicy(first_ms=10, limit_ms=40, forget_ms=100)
+    backoff, now, pauses = StartBackoff(policy), NOW, []
+    for _ in range(4):
+        backoff = backoff.note_refused(KEY, now)
+        end = backoff.find_pause_end(KEY, now)
+        pauses.append(end.mono_ms - now.mono_ms)
+        now = end
+    assert pauses == [10, 20, 40, 40]
+    now = now.plus_ms(100)
+    end = backoff.note_refused(KEY, now).find_pause_end(KEY, now)
+    assert end.mono_ms - now.mono_ms == 10
+
+
+def test_refusals_of_starts_ordered_together_count_once_and_others_are_free():
+    backoff = StartBackoff().note_refused(KEY, NOW).note_refused(KEY, NOW.plus_ms(1))
+    offers = [
+        HostOffer(
+            machine_class="m1",
+            zone=zone,
+            data_centre="north",
+            reclaimable=True,
+            price_per_hour=1.0,
+        )
+        for zone in "ab"
+    ]
+    marked = backoff.mark_offers(offers, NOW.plus_ms(1))
+    assert [offer.start_refused_until for offer in marked] == [
+        NOW.plus_ms(15_000),
+        None,
+    ]
+    assert backoff.note_started(KEY).mark_offers(offers, NOW)[0] == offers[0]
