--- /dev/null
+++ b/libs/standins/src/waxwingbarrow/standins/_engine.py
@@ -0,0 +1,409 @@
+"""Model engine stand-in."""
+
+import asyncio
+import base64
+import json
+import os
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from waxwingbarrow.core import PriorityClass
+from waxwingbarrow.standins._batch import Batch
+from waxwingbarrow.standins._cache import PrefixCache
+from waxwingbarrow.standins._server import abort_connection, read_faults
+from waxwingbarrow.standins._text import count_tokens, hash_blocks, make_token
+
+CRASH_EXIT_CODE = 70
+
+
+@attrs.frozen
+class EngineSettings:
+    """Speed, sizes and habits of the engine.
+
+    Parameters
+    ----------
+    prefill_tokens_per_s, decode_tokens_per_s : float
+        Rates; decoding is per stream.
+    batch_limit : int
+        Streams at the same time.
+    cache_tokens : int
+        Capacity of the prefix cache.
+    cache_event_lag_s : float
+        Delay of cache events.
+    lose_cache_event_every : int
+        Every n-th cache event is lost; 0 for none.
+    load_lag_s : float
+        Least age of the load that is reported.
+    keep_s : float
+        Time for which a stream without a reader is kept.
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
+    """
+
+    prefill_tokens_per_s: float = 20_000.0
+    decode_tokens_per_s: float = 500.0
+    batch_limit: int = 16
+    cache_tokens: int = 65_536
+    cache_event_lag_s: float = 0.0
+    lose_cache_event_every: int = 0
+    load_lag_s: float = 0.0
+    keep_s: float = 30.0
+    checks_fencing: bool = True
+
+
+@attrs.frozen
+class EngineFaults:
+    """Faults in force; an index of -1 turns a fault off.
+
+    Parameters
+    ----------
+    crash_marker : str
+        The process exits when a prompt contains this text; empty for never.
+    only_marker : str
+        Prompts that the other faults apply to contain this text.
+    fail_status : int
+        HTTP status to answer with instead of generating; 0 for none.
+    fail_at : int
+        Index at which the stream ends with an error event.
+    slow_factor : float
+        Divides the rates.
+    wrong_length : int
+        Added to the announced count.
+    duplicate_at, reorder_at : int
+        Index of a token that is sent twice, or after its successor.
+    overlap : int
+        Tokens that a resumed stream repeats.
+    cut_at : int
+        Index before which the connection breaks.
+    cut_count : int
+        Number of connections that `cut_at` breaks.
+    stall_at : int
+        Index before which the answer stops without an end.
+    leaving : bool
+        Whether answers carry ``Upstream-State: leaving``.
+    """
+
+    crash_marker: str = ""
+    only_marker: str = ""
+    fail_status: int = 0
+    fail_at: int = -1
+    slow_factor: float = 1.0
+    wrong_length: int = 0
+    duplicate_at: int = -1
+    reorder_at: int = -1
+    overlap: int = 0
+    cut_at: int = -1
+    cut_count: int = 1_000_000
+    stall_at: int = -1
+    leaving: bool = False
+
+
+@attrs.define(eq=False)
+class _Stream:
+    stream_id: str
+    model: str
+    prompt: str
+    first_index: int
+    count: int
+    cached_tokens: int
+    tokens: list[str] = attrs.field(factory=list)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    task: asyncio.Task[None] | None = None
+    readers: int = 0
+    unread_since_s: float = attrs.field(factory=time.monotonic)
+
+    @property
+    def next_index(self) -> int:
+        return self.first_index + len(self.tokens)
+
+    @property
+    def full_text(self) -> str:
+        return self.prompt + "".join(
+            make_token(self.model, self.prompt, i) for i in range(self.next_index)
+        )
+
+    def signal(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class EngineStandin:
+    """State and HTTP handlers of one engine.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Speed, sizes and habits.
+    exit_process : callable
+        Ends the process on a crash fault; tests in one process replace it.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings | None = None,
+        exit_process: Callable[[int], Any] = os._exit,
+    ) -> None:
+        self.settings = settings or EngineSettings()
+        self.faults = EngineFaults()
+        self.cache = PrefixCache(
+            self.settings.cache_tokens,
+            self.settings.cache_event_lag_s,
+            self.settings.lose_cache_event_every,
+        )
+        self.streams: dict[str, _Stream] = {}
+        self.orders: list[dict[str, Any]] = []
+        self.recomputed_tokens = 0
+        self._exit_process = exit_process
+        self._batch = Batch(self.settings.batch_limit)
+        self._queued_tokens = 0
+        self._loads: list[tuple[float, dict[str, Any]]] = []
+        self._fencing = -1
+
+    def make_app(self) -> Starlette:
+        """Return the application."""
+        one_stream = "/v1/streams/{stream_id}"
+        return Starlette(
+            routes=[
+                Route("/v1/generate", self._generate, methods=["POST"]),
+                Route(f"{one_stream}/resume", self._resume, methods=["POST"]),
+                Route(one_stream, self._cancel, methods=["DELETE"]),
+                Route("/v1/load", self._read_load),
+                Route("/v1/cache-events", self._read_cache_events),
+                Route("/v1/kv/export", self._export, methods=["POST"]),
+                Route("/v1/kv/import", self._import, methods=["POST"]),
+                Route("/v1/orders", self._order, methods=["POST"]),
+                Route("/standin/faults", self._set_faults, methods=["POST"]),
+                Route("/standin/counters", self._read_counters),
+            ]
+        )
+
+    def measure_load(self) -> dict[str, Any]:
+        """Return a load report that is at least `load_lag_s` old, if there is one."""
+        now_s = time.monotonic()
+        speed = max(self.faults.slow_factor, 1e-9)
+        load = {
+            "in_flight": self._batch.in_flight,
+            "queued_tokens": self._queued_tokens,
+            "prefill_tokens_per_s": self.settings.prefill_tokens_per_s / speed,
+            "decode_tokens_per_s": self.settings.decode_tokens_per_s / speed,
+            "batch_limit": self.settings.batch_limit,
+        }
+        self._loads.append((now_s, load))
+        visible_s = now_s - self.settings.load_lag_s
+        while len(self._loads) > 1 and self._loads[1][0] <= visible_s:
+            self._loads.pop(0)
+        at_s, reported = self._loads[0]
+        return {**reported, "age_ms": int((now_s - at_s) * 1000)}
+
+    def _make_headers(self) -> dict[str, str]:
+        headers = {"Upstream-Load": json.dumps(self.measure_load())}
+        if self.faults.leaving:
+            headers["Upstream-State"] = "leaving"
+        return headers
+
+    def _answer(self, data: Any, status: int = 200) -> Response:
+        return JSONResponse(data, status, self._make_headers())
+
+    def _get_faults(self, prompt: str) -> EngineFaults:
+        if self.faults.only_marker in prompt:
+            return self.faults
+        return EngineFaults(leaving=self.faults.leaving)
+
+    async def _generate(self, request: Request) -> Response:
+        call = await request.json()
+        prompt: str = call["prompt"]
+        marker = self.faults.crash_marker
+        if marker and marker in prompt:
+            self._exit_process(CRASH_EXIT_CODE)
+            abort_connection(request)
+            return Response()
+        faults = self._get_faults(prompt)
+        if faults.fail_status:
+            return self._answer({"detail": "Failed."}, faults.fail_status)
+        self._drop_unread_streams()
+        blocks = hash_blocks(call["model"], prompt + call.get("continue_from", ""))
+        stream = _Stream(
+            stream_id=f"{call['request_id']}.{call['attempt_id']}",
+            model=call["model"],
+            prompt=prompt,
+            first_index=call.get("first_index", 0),
+            count=call["max_tokens"],
+            cached_tokens=self.cache.count_cached_tokens(blocks),
+        )
+        self.streams[stream.stream_id] = stream
+        tokens = count_tokens(prompt + call.get("continue_from", ""))
+        rank = PriorityClass(call.get("priority", "standard")).rank
+        to_prefill = max(0, tokens - stream.cached_tokens)
+        stream.task = asyncio.create_task(
+            self._decode(stream, rank, to_prefill, blocks)
+        )
+        return self._send(request, stream, call["attempt_id"], stream.first_index)
+
+    async def _decode(
+        self, stream: _Stream, rank: int, to_prefill: int, blocks: tuple[int, ...]
+    ) -> None:
+        self._queued_tokens += to_prefill
+        try:
+            await self._batch.enter(rank)
+        finally:
+            self._queued_tokens -= to_prefill
+        try:
+            slow = self._get_faults(stream.prompt).slow_factor
+            await asyncio.sleep(to_prefill * slow / self.settings.prefill_tokens_per_s)
+            self.recomputed_tokens += to_prefill
+            self.cache.store(blocks)
+            due_s = time.monotonic()
+            while stream.next_index < stream.count:
+                slow = self._get_faults(stream.prompt).slow_factor
+                due_s += slow / self.settings.decode_tokens_per_s
+                await asyncio.sleep(due_s - time.monotonic())
+                token = make_token(stream.model, stream.prompt, stream.next_index)
+                stream.tokens.append(token)
+                stream.signal()
+        finally:
+            self._batch.leave()
+
+    async def _resume(self, request: Request) -> Response:
+        call = await request.json()
+        stream = self.streams.get(request.path_params["stream_id"])
+        from_index = call["from_index"]
+        if stream is None or from_index < stream.first_index:
+            return self._answer({"detail": "The stream is not kept."}, 404)
+        overlap = self._get_faults(stream.prompt).overlap
+        first_index = max(stream.first_index, from_index - overlap)
+        return self._send(request, stream, call["attempt_id"], first_index)
+
+    def _send(
+        self,
+        request: Request,
+        stream: _Stream,
+        attempt_id: str,
+        first_index: int,
+    ) -> Response:
+        async def send_events() -> AsyncIterator[str]:
+            stream.readers += 1
+            try:
+                async for event in self._make_events(
+                    request, stream, attempt_id, first_index
+                ):
+                    yield event
+            finally:
+                stream.readers -= 1
+                stream.unread_since_s = time.monotonic()
+
+        return StreamingResponse(
+            send_events(),
+            media_type="text/event-stream",
+            headers=self._make_headers(),
+        )
+
+    async def _make_events(
+        self, request: Request, stream: _Stream, attempt_id: str, first_index: int
+    ) -> AsyncIterator[str]:
+        def make_token_event(index: int) -> str:
+            text = stream.tokens[index - stream.first_index]
+            data = {"attempt_id": attempt_id, "index": index, "text": text}
+            return _make_event("token", data)
+
+        yield _make_event(
+            "start",
+            {
+                "stream_id": stream.stream_id,
+                "attempt_id": attempt_id,
+                "cached_tokens": stream.cached_tokens,
+            },
+        )
+        held = ""
+        for index in range(first_index, stream.count):
+            while stream.next_index <= index:
+                await stream.changed.wait()
+            faults = self._get_faults(stream.prompt)
+            if index == faults.fail_at:
+                data = {"attempt_id": attempt_id, "reason": "injected"}
+                yield _make_event("error", data)
+                return
+            if index == faults.cut_at and faults.cut_count > 0:
+                self.faults = attrs.evolve(self.faults, cut_count=faults.cut_count - 1)
+                # Lets the earlier events leave first, so that the cut is exact.
+                await asyncio.sleep(0.005)
+                abort_connection(request)
+                return
+            if index == faults.stall_at:
+                await asyncio.Event().wait()
+            event = make_token_event(index)
+            if index == faults.reorder_at and index + 1 < stream.count:
+                held = event
+                continue
+            yield event + held
+            held = ""
+            if index == faults.duplicate_at:
+                yield event
+        announced = stream.count + self._get_faults(stream.prompt).wrong_length
+        load = self.measure_load()
+        done = {"attempt_id": attempt_id, "count": announced, "load": load}
+        yield _make_event("done", done)
+
+    async def _cancel(self, request: Request) -> Response:
+        stream = self.streams.pop(request.path_params["stream_id"], None)
+        if stream is not None and stream.task is not None:
+            stream.task.cancel()
+        return Response(status_code=204, headers=self._make_headers())
+
+    def _drop_unread_streams(self) -> None:
+        oldest_s = time.monotonic() - self.settings.keep_s
+        for stream in list(self.streams.values()):
+            if not stream.readers and stream.unread_since_s < oldest_s:
+                del self.streams[stream.stream_id]
+                if stream.task is not None:
+                    stream.task.cancel()
+
+    async def _read_load(self, request: Request) -> Response:
+        return self._answer(self.measure_load())
+
+    async def _read_cache_events(self, request: Request) -> Response:
+        from_number = int(request.query_params.get("from", "0"))
+        return self._answer(self.cache.read_events(from_number))
+
+    async def _export(self, request: Request) -> Response:
+        stream = self.streams.get((await request.json())["stream_id"])
+        if stream is None:
+            return self._answer({"detail": "The stream is not kept."}, 404)
+        data = {"model": stream.model, "text": stream.full_text}
+        blob = base64.b64encode(json.dumps(data).encode()).decode()
+        return self._answer({"blob": blob})
+
+    async def _import(self, request: Request) -> Response:
+        data = json.loads(base64.b64decode((await request.json())["blob"]))
+        tokens = self.cache.store(hash_blocks(data["model"], data["text"]))
+        return self._answer({"tokens": tokens})
+
+    async def _order(self, request: Request) -> Response:
+        order = await request.json()
+        if self.settings.checks_fencing and order["fencing"] < self._fencing:
+            return self._answer({"detail": "The fencing number is old."}, 409)
+        self._fencing = max(self._fencing, order["fencing"])
+        known = any(o["order_id"] == order["order_id"] for o in self.orders)
+        if not known:
+            self.orders.append(order)
+        return self._answer({"applied": not known})
+
+    async def _set_faults(self, request: Request) -> Response:
+        faults, answer = await read_faults(request, EngineFaults)
+        self.faults = faults or self.faults
+        return answer
+
+    async def _read_counters(self, request: Request) -> Response:
+        return self._answer(
+            {"recomputed_tokens": self.recomputed_tokens, "orders": self.orders}
+        )
+
+
+def _make_event(name: str, data: Any) -> str:
+    return f"event: {name}\ndata: {json.dumps(data)}\n\n"
--- /dev/null
+++ b/libs/standins/src/waxwingbarrow/standins/engine.py
@@ -0,0 +1,17 @@
+"""Program: engine stand-in."""
+
+from typing import Any
+
+import fire
+
+from waxwingbarrow.standins._engine import EngineSettings, EngineStandin
+from waxwingbarrow.standins._server import run_forever
+
+
+def main(port: int, **settings: Any) -> None:
+    """Serve the engine; the options are the fields of ``EngineSettings``."""
+    run_forever(EngineStandin(EngineSettings(**settings)).make_app(), port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/libs/upstreams/src/waxwingbarrow/upstreams/_load.py
@@ -0,0 +1,58 @@
+"""Load reports on answers of upstreams."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import attrs
+
+from waxwingbarrow.core import read_data
+
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """Load that an upstream states about itself.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests in the batch.
+    queued_tokens : int
+        Prompt tokens that wait for prefill.
+    prefill_tokens_per_s, decode_tokens_per_s : float
+        Measured rates.
+    batch_limit : int
+        Largest batch.
+    age_ms : int
+        Age of the figures when the answer was sent.
+    """
+
+    in_flight: int
+    queued_tokens: int = 0
+    prefill_tokens_per_s: float = 0.0
+    decode_tokens_per_s: float = 0.0
+    batch_limit: int = 0
+    age_ms: int = 0
+
+
+def read_known(data: Any, kind: type[T], source: str) -> T | None:
+    """Read an object of an outside system.
+
+    Fields that `kind` lacks are skipped, because a newer upstream may send more.
+    """
+    if not isinstance(data, dict):
+        return None
+    names = {field.name for field in attrs.fields(kind)}  # type: ignore[arg-type]
+    known = {name: value for name, value in data.items() if name in names}
+    return read_data(known, kind, source).ok()
+
+
+def read_load_header(headers: Mapping[str, str]) -> LoadReport | None:
+    """Read the ``Upstream-Load`` header; a malformed one counts as absent."""
+    try:
+        data = json.loads(headers.get("upstream-load", ""))
+    except ValueError:
+        return None
+    return read_known(data, LoadReport, "Upstream-Load")
