Add the host list, weight store and cloud clients

Cause: routing needs the host list and notices, weight pulls and host starts must respect rate limits and must not start a host twice. Ruled out: failing the whole host list on one malformed host, which would hide all the others; taking a list that is older than the last one. Before: 165 tests. After: 192 tests pass in 46 s with PYTEST_ADDOPTS="-o consider_namespace_packages=true"; the three stand-ins start as programs and end with exit code 70 on a crash fault. Conclusion: reads fail as Unavailable or Refused, changes as NotSent, Unsettled or Refused.

--- a/libs/platform/src/waxwingbarrow/platform/__init__.py
+++ b/libs/platform/src/waxwingbarrow/platform/__init__.py
@@ -1,13 +1,33 @@
 """Clients for the platform: log, weight store, cloud API, host list."""
 
 from waxwingbarrow.platform._appender import AppenderPolicy, LogAppender
+from waxwingbarrow.platform._cloud import (
+    CloudClient,
+    HttpCloudClient,
+    InstanceRequest,
+    Notice,
+    NoticePage,
+)
 from waxwingbarrow.platform._failures import (
+    ChangeFailure,
     Expired,
     LogFailure,
     LogRejected,
     NotSent,
+    ReadFailure,
+    Refused,
+    Unavailable,
     Unsettled,
 )
+from waxwingbarrow.platform._hosts import (
+    Host,
+    HostList,
+    HostListClient,
+    HostPoller,
+    HostState,
+    HttpHostListClient,
+    PollPolicy,
+)
 from waxwingbarrow.platform._http import (
     EXCHANGE_ERRORS,
     HttpAnswer,
@@ -24,16 +44,32 @@
     RawEntry,
 )
 from waxwingbarrow.platform._reader import LogReader, ReaderPolicy
+from waxwingbarrow.platform._weights import (
+    HttpWeightStoreClient,
+    Weights,
+    WeightStoreClient,
+)
 
 __all__ = [
     "EXCHANGE_ERRORS",
     "AppenderPolicy",
+    "ChangeFailure",
+    "CloudClient",
     "Expired",
+    "Host",
+    "HostList",
+    "HostListClient",
+    "HostPoller",
+    "HostState",
     "HttpAnswer",
+    "HttpCloudClient",
     "HttpFailure",
+    "HttpHostListClient",
     "HttpLogClient",
     "HttpSession",
     "HttpStream",
+    "HttpWeightStoreClient",
+    "InstanceRequest",
     "JsonRecord",
     "LogAppender",
     "LogClient",
@@ -42,8 +78,16 @@
     "LogReader",
     "LogRejected",
     "NotSent",
+    "Notice",
+    "NoticePage",
+    "PollPolicy",
     "RawEntry",
+    "ReadFailure",
     "ReaderPolicy",
+    "Refused",
+    "Unavailable",
     "Unsettled",
+    "WeightStoreClient",
+    "Weights",
     "classify_error",
 ]
--- a/libs/platform/src/waxwingbarrow/platform/_failures.py
+++ b/libs/platform/src/waxwingbarrow/platform/_failures.py
@@ -1,4 +1,4 @@
-"""Failures of log operations, told apart by whether the append may be in effect."""
+"""Failures of platform operations, told apart by whether they may be in effect."""
 
 import attrs
 
@@ -7,14 +7,14 @@
 
 @attrs.frozen
 class NotSent(Failure):
-    """The append is certainly not in effect; it may be repeated.
+    """The operation is certainly not in effect; it may be repeated.
 
     Parameters
     ----------
     reason : str
         What happened.
     retry_after_s : float or None
-        Earliest time for the next attempt, if the log named one.
+        Earliest time for the next attempt, if the platform named one.
     """
 
     reason: str
@@ -23,19 +23,19 @@
     @property
     def detail(self) -> str:
         """One sentence that tells a person what is wrong."""
-        return f"The log did not take the request: {self.reason}."
+        return f"The platform did not take the request: {self.reason}."
 
 
 @attrs.frozen
 class Unsettled(Failure):
-    """The append may be in effect; only reading the log can tell."""
+    """The operation may be in effect; only reading the platform's state can tell."""
 
     reason: str
 
     @property
     def detail(self) -> str:
         """One sentence that tells a person what is wrong."""
-        return f"The log gave no usable answer: {self.reason}."
+        return f"The platform gave no usable answer: {self.reason}."
 
 
 @attrs.frozen
@@ -63,4 +63,32 @@
         return f"The log refused the request with status {self.status}: {self.reason}."
 
 
+@attrs.frozen
+class Unavailable(Failure):
+    """A read failed; it may be repeated."""
+
+    reason: str
+    retry_after_s: float | None = None
+
+    @property
+    def detail(self) -> str:
+        """One sentence that tells a person what is wrong."""
+        return f"The platform could not be read: {self.reason}."
+
+
+@attrs.frozen
+class Refused(Failure):
+    """The platform refused the request; repeating it unchanged does not help."""
+
+    status: int
+    reason: str
+
+    @property
+    def detail(self) -> str:
+        """One sentence that tells a person what is wrong."""
+        return f"The platform answered with status {self.status}: {self.reason}."
+
+
 LogFailure = NotSent | Unsettled | Expired | LogRejected
+ReadFailure = Unavailable | Refused
+ChangeFailure = NotSent | Unsettled | Refused
--- a/libs/platform/src/waxwingbarrow/platform/_http.py
+++ b/libs/platform/src/waxwingbarrow/platform/_http.py
@@ -21,6 +21,7 @@
 # Servers commonly close idle connections after 5 s (uvicorn's default); a request that
 # is written while the server closes is lost without an answer.
 MAX_IDLE_MS = 2_000
+SHOWN_BODY_BYTES = 200
 # Raised by aiosonic and asyncio when a connection fails or an answer is malformed.
 # ValueError and EOFError come from a chunk header or a body that ends early.
 EXCHANGE_ERRORS = (AiosonicError, OSError, EOFError, ValueError)
@@ -70,6 +71,11 @@
         except (KeyError, ValueError):
             return None
 
+    def describe(self) -> str:
+        """Return status and start of the body, for error messages."""
+        text = self.body[:SHOWN_BODY_BYTES].decode(errors="replace")
+        return f"status {self.status} {text}".rstrip()
+
 
 class HttpStream:
     """Answer whose body is read while it arrives."""
--- a/libs/platform/src/waxwingbarrow/platform/_log.py
+++ b/libs/platform/src/waxwingbarrow/platform/_log.py
@@ -17,7 +17,6 @@
 from waxwingbarrow.platform._http import HttpAnswer, HttpSession
 
 JsonRecord = dict[str, Any]
-SHOWN_BODY_CHARS = 200
 
 
 @attrs.frozen
@@ -121,7 +120,7 @@
     offset = data.get("offset")
     if answer.status == 200 and type(offset) is int:
         return Ok(offset)
-    reason = _describe(answer)
+    reason = answer.describe()
     # A status 429 and a 5xx answer with "in_effect": false are definite: nothing was
     # appended. Any other 5xx may come from a proxy that lost the log's answer.
     if answer.status == 429 or (
@@ -142,8 +141,8 @@
         page = _parse_page(data)
         return Ok(page) if page else Err(NotSent("The page is malformed"))
     if 400 <= answer.status < 500 and answer.status not in (408, 429):
-        return Err(LogRejected(answer.status, _describe(answer)))
-    return Err(NotSent(_describe(answer), answer.read_retry_after_s()))
+        return Err(LogRejected(answer.status, answer.describe()))
+    return Err(NotSent(answer.describe(), answer.read_retry_after_s()))
 
 
 def _parse_page(data: dict[str, Any]) -> LogPage | None:
@@ -158,8 +157,3 @@
     if any(type(offset) is not int or offset < 0 for offset in offsets):
         return None
     return page if all(isinstance(e.record, dict) for e in entries) else None
-
-
-def _describe(answer: HttpAnswer) -> str:
-    text = answer.body[:SHOWN_BODY_CHARS].decode(errors="replace")
-    return f"status {answer.status} {text}".rstrip()
--- a/libs/standins/src/waxwingbarrow/standins/__init__.py
+++ b/libs/standins/src/waxwingbarrow/standins/__init__.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform and the upstreams, for tests and the demo."""
 
-from waxwingbarrow.standins._engine import EngineFaults, EngineSettings, EngineStandin
+from waxwingbarrow.standins._engine import EngineStandin
+from waxwingbarrow.standins._options import EngineFaults, EngineSettings
 from waxwingbarrow.standins._platform import (
     PlatformFaults,
     PlatformSettings,
--- a/libs/standins/src/waxwingbarrow/standins/engine.py
+++ b/libs/standins/src/waxwingbarrow/standins/engine.py
@@ -4,7 +4,8 @@
 
 import fire
 
-from waxwingbarrow.standins._engine import EngineSettings, EngineStandin
+from waxwingbarrow.standins._engine import EngineStandin
+from waxwingbarrow.standins._options import EngineSettings
 from waxwingbarrow.standins._server import run_forever
 
 
