Serve requests end to end: daemon, command line and demo

Cause: the libraries decide, but nothing connected callers, upstreams, the platform and operators. Ruled out: the server library's own signal handling, which closes the listener before the balancer has seen that readiness fails; cancelling a booking when its caller disconnects, which loses the outcome; one admission controller for all services, because accounts have limits per service. Before: no path.

--- a/libs/bench/src/waxwingbarrow/bench/_client.py
+++ b/libs/bench/src/waxwingbarrow/bench/_client.py
@@ -6,26 +6,17 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
-import aiosonic
 import attrs
 import uuid6
-from aiosonic.exceptions import (
-    ConnectTimeout,
-    HttpParsingError,
-    ReadTimeout,
-    RequestTimeout,
-)
-from aiosonic.timeout import Timeouts
-
-CONNECTION_ERRORS = (
-    OSError,
-    EOFError,
-    asyncio.TimeoutError,
-    ConnectTimeout,
-    ReadTimeout,
-    RequestTimeout,
-    HttpParsingError,
+from result import Err
+
+from waxwingbarrow.platform import (
+    EXCHANGE_ERRORS,
+    HttpAnswer,
+    HttpSession,
+    HttpStream,
 )
+
 RETRY_PAUSE_S = 0.2
 
 
@@ -78,10 +69,10 @@
         return (self.refusal or {}).get("outcome", "unknown")
 
 
-async def read_events(response: Any) -> AsyncIterator[ServerEvent]:
+async def read_events(stream: HttpStream) -> AsyncIterator[ServerEvent]:
     """Yield the server-sent events of a response."""
     pending = b""
-    async for chunk in response.read_chunks():
+    async for chunk in stream.read_chunks():
         pending += chunk
         while b"\n\n" in pending:
             block, _, pending = pending.partition(b"\n\n")
@@ -121,10 +112,9 @@
         self._key = key
         self._rng = rng
         self._deadline_s = deadline_s
-        self._client = aiosonic.HTTPClient()
-        self._timeouts = Timeouts(
-            sock_connect=1.0, sock_read=deadline_s, request_timeout=deadline_s
-        )
+        # A connection for each request: one that a killed host leaves half open must
+        # not be used for the next request.
+        self._session = HttpSession(keep_alive=False)
 
     async def generate(
         self, service: str, route: str, prompt: str, max_tokens: int
@@ -149,38 +139,41 @@
                 result.resumes += 1
             try:
                 token = await self._follow(path, body, result, token)
-            except CONNECTION_ERRORS:
+            except EXCHANGE_ERRORS:
                 await asyncio.sleep(RETRY_PAUSE_S)
         return result
 
     async def _follow(
         self, path: str, body: dict[str, Any], result: ModelResult, token: str | None
     ) -> str | None:
-        response = await self._post(path, body, {})
-        if response.status_code != 200:
-            result.refusal = await response.json()
-            await asyncio.sleep(RETRY_PAUSE_S)
-            # A token that is no longer accepted is given up; the text is kept and
-            # verified against the repeated answer.
-            return None if response.status_code == 403 else token
-        if token is None:
-            result.text, result.tokens = "", 0
-        async for event in read_events(response):
-            match event.name:
-                case "resume" | "handover":
-                    token = event.data["token"]
-                case "token":
-                    if event.data["index"] != result.tokens:
-                        raise OSError("A token is missing or repeated.")
-                    result.text += event.data["text"]
-                    result.tokens += 1
-                case "done":
-                    result.complete = event.data["count"] == result.tokens
-                    return token
-                case "problem":
-                    result.refusal = event.data
-                    await asyncio.sleep(RETRY_PAUSE_S)
-                    return token
+        exchange = self._session.stream(
+            "POST", self._choose_host() + path, payload=body, headers=self._headers
+        )
+        async with asyncio.timeout(self._deadline_s), exchange as stream:
+            if stream.status != 200:
+                answer = await stream.read_answer()
+                result.refusal = answer.read_object()
+                await asyncio.sleep(RETRY_PAUSE_S)
+                # A rejected token is given up and the request sent again.
+                return None if stream.status == 403 else token
+            if token is None:
+                result.text, result.tokens = "", 0
+            async for event in read_events(stream):
+                match event.name:
+                    case "resume" | "handover":
+                        token = event.data["token"]
+                    case "token":
+                        if event.data["index"] != result.tokens:
+                            raise OSError("A token is missing or repeated.")
+                        result.text += event.data["text"]
+                        result.tokens += 1
+                    case "done":
+                        result.complete = event.data["count"] == result.tokens
+                        return token
+                    case "problem":
+                        result.refusal = event.data
+                        await asyncio.sleep(RETRY_PAUSE_S)
+                        return token
         return token
 
     async def book(self, service: str, route: str, body: Any) -> BookingResult:
@@ -197,13 +190,12 @@
                 "Request-Id": result.request_id,
             }
             path = f"/v1/services/{service}/routes/{route}"
-            try:
-                response = await self._post(path, body, headers)
-                answer = await response.json()
-            except (*CONNECTION_ERRORS, ValueError):
+            sent = await self._post(path, body, headers)
+            answer = sent.read_object() if sent is not None else None
+            if sent is None or answer is None:
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if response.status_code == 200:
+            if sent.status == 200:
                 result.answer, result.refusal = answer, None
                 return result
             result.refusal = answer
@@ -212,21 +204,26 @@
             await asyncio.sleep(RETRY_PAUSE_S)
         return result
 
-    async def call(self, service: str, route: str, body: Any) -> tuple[int, Any]:
+    async def call(self, service: str, route: str, body: Any) -> HttpAnswer | None:
         """Send one repeatable request to a plain service."""
-        path = f"/v1/services/{service}/routes/{route}"
-        response = await self._post(path, body, {})
-        return response.status_code, await response.json()
-
-    async def _post(self, path: str, body: Any, headers: dict[str, str]) -> Any:
-        url = self._rng.choice(self._hosts) + path
-        return await self._client.post(
-            url,
-            headers={
-                "Authorization": f"Bearer {self._key}",
-                "Content-Type": "application/json",
-                **headers,
-            },
-            data=json.dumps(body),
-            timeouts=self._timeouts,
+        return await self._post(f"/v1/services/{service}/routes/{route}", body, {})
+
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self._key}"}
+
+    def _choose_host(self) -> str:
+        return self._rng.choice(self._hosts)
+
+    async def _post(
+        self, path: str, body: Any, headers: dict[str, str]
+    ) -> HttpAnswer | None:
+        """Return the answer, or None if there was none."""
+        sent = await self._session.request(
+            "POST",
+            self._choose_host() + path,
+            payload=body,
+            headers={**self._headers, **headers},
+            timeout_ms=int(self._deadline_s * 1000),
         )
+        return None if isinstance(sent, Err) else sent.ok_value
--- a/libs/bench/src/waxwingbarrow/bench/_demo.py
+++ b/libs/bench/src/waxwingbarrow/bench/_demo.py
@@ -4,6 +4,7 @@
 import random
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 import attrs
@@ -29,6 +30,7 @@
 MODEL_REQUESTS = 60
 BOOKINGS = 60
 MAX_TOKENS = 40
+CALLER_DEADLINE_S = 20.0
 UPSTREAMS = (
     UpstreamPlan("engine-a1", "engine", MODEL_SERVICE, "v1", "dc-a"),
     UpstreamPlan("engine-a2", "engine", MODEL_SERVICE, "v1", "dc-a"),
@@ -63,6 +65,7 @@
     doubled: int = 0
     false_refusals: int = 0
     resumes: int = 0
+    reasons: Counter[str] = attrs.field(factory=Counter)
 
     @property
     def is_good(self) -> bool:
@@ -144,7 +147,7 @@
 ) -> tuple[list[ModelResult], list[BookingResult]]:
     """Send model requests and bookings while a daemon and an engine are killed."""
     urls = [daemon.url for daemon in deployment.daemons.values()]
-    caller = Caller(urls, ACCOUNT_KEY, random.Random(SEED))
+    caller = Caller(urls, ACCOUNT_KEY, random.Random(SEED), CALLER_DEADLINE_S)
 
     async def ask(number: int, prompt: str) -> ModelResult:
         await asyncio.sleep(number * 0.05)
@@ -208,6 +211,8 @@
     for booking in bookings:
         ran = runs.get(booking.request_id, 0)
         tally.doubled += ran > 1
+        if booking.refusal is not None:
+            tally.reasons[booking.refusal.get("detail", "")] += 1
         match booking.outcome:
             case "completed" if ran == 0:
                 tally.lost += 1
@@ -230,6 +235,8 @@
         f"demo: {tally.resumes} streams resumed, {tally.unknown} outcomes unknown, "
         f"{tally.false_refusals} false refusals"
     )
+    for reason, count in tally.reasons.items():
+        print(f"demo: {count} refused: {reason}")
     print(
         f"demo: {tally.requests} requests, {tally.complete} complete, "
         f"{tally.refused} refused, {tally.lost} lost, {tally.doubled} doubled"
--- a/libs/bench/src/waxwingbarrow/bench/_deployment.py
+++ b/libs/bench/src/waxwingbarrow/bench/_deployment.py
@@ -23,6 +23,7 @@
 SMALL_ACCOUNT_KEY = "demo-small-account-key"
 TOKEN_SECRET = "demo-resume-token-secret-of-32-chars"
 READY_TIMEOUT_S = 20.0
+LOG_LINES = 12
 
 
 def hash_key(key: str) -> str:
@@ -139,7 +140,8 @@
         )
         running = RunningUpstream(plan, port, process)
         self.upstreams[plan.name] = running
-        await self.wait_for(f"http://{running.address}/v1/load")
+        path = "v1/load" if plan.kind == "engine" else "standin/runs"
+        await self.wait_for(f"http://{running.address}/{path}")
         await self.list_upstream(running, "live")
         return running
 
@@ -215,7 +217,7 @@
             except (OSError, aiosonic.exceptions.AiosonicError):
                 pass
             await asyncio.sleep(0.05)
-        raise TimeoutError(f"{url} is not ready.")
+        raise TimeoutError(f"{url} is not ready.\n{self.read_logs()}")
 
     @property
     def client(self) -> aiosonic.HTTPClient:
@@ -246,6 +248,14 @@
         """Return the environment of the operator's command line."""
         return {**os.environ, "WAXWINGBARROW_OPERATOR_KEY": operator_key}
 
+    def read_logs(self) -> str:
+        """Return the last lines that each process wrote."""
+        parts = []
+        for name, started in self.group.started.items():
+            lines = started.log_path.read_text(errors="replace").splitlines()
+            parts += [f"{name}: {line}" for line in lines[-LOG_LINES:]]
+        return "\n".join(parts)
+
     def stop(self) -> None:
         """Stop every process."""
         self.group.stop_all()
--- a/libs/core/src/waxwingbarrow/core/_reading.py
+++ b/libs/core/src/waxwingbarrow/core/_reading.py
@@ -72,13 +72,30 @@
     return validate
 
 
-def matches(pattern: str, allowed: str) -> Validator:
-    """Return a validator for text that fully matches a regular expression."""
+def matches(pattern: str, allowed: str, *, is_secret: bool = False) -> Validator:
+    """Return a validator for text that fully matches a regular expression.
+
+    Parameters
+    ----------
+    is_secret : bool
+        Whether the value must not appear in the error.
+    """
     compiled = re.compile(pattern)
 
     def validate(_: Any, attribute: "attrs.Attribute[Any]", value: Any) -> None:
         if not compiled.fullmatch(value):
-            raise ValueNotAllowedError(value, allowed, attribute.name)
+            shown = "(not shown)" if is_secret else value
+            raise ValueNotAllowedError(shown, allowed, attribute.name)
+
+    return validate
+
+
+def not_empty(allowed: str) -> Validator:
+    """Return a validator for a list with at least one member."""
+
+    def validate(_: Any, attribute: "attrs.Attribute[Any]", value: Any) -> None:
+        if not value:
+            raise ValueNotAllowedError([], allowed, attribute.name)
 
     return validate
 
--- a/libs/daemon/src/waxwingbarrow/daemon/_admission.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_admission.py
@@ -245,5 +245,5 @@
             now,
             policy,
         ),
-        classes=grant.classes,
+        classes=frozenset(grant.classes),
     )
--- a/libs/daemon/src/waxwingbarrow/daemon/_answers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_answers.py
@@ -7,6 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from waxwingbarrow import upstreams
 from waxwingbarrow.core import (
     Instant,
     NoUpstream,
@@ -39,20 +40,12 @@
     StreamAssembler,
     TokenEvent,
 )
-from waxwingbarrow.upstreams import (
-    EngineDone,
-    EngineEvent,
-    EngineStart,
-    EngineToken,
-    GenerateCall,
-    NotSent,
-    UpstreamFailure,
-)
 
 # Pause before upstreams are tried again after all of them have failed.
 RETRY_PAUSE_S = 0.1
+PROBE_TIMEOUT_MS = 500
 
-Source = AsyncIterator[EngineEvent | UpstreamFailure]
+Source = AsyncIterator[upstreams.EngineEvent | upstreams.UpstreamFailure]
 
 
 @attrs.define
@@ -72,7 +65,7 @@
     resumes_left: int
     announced: bool = False
     mismatch: Mismatch | None = None
-    failure: UpstreamFailure | None = None
+    failure: upstreams.UpstreamFailure | upstreams.EngineError | None = None
     quality: ResponseQuality | None = None
 
     @property
@@ -84,6 +77,8 @@
         """Return what went wrong."""
         if self.mismatch is not None:
             return self.mismatch.detail
+        if isinstance(self.failure, upstreams.EngineError):
+            return f"The engine gave up: {self.failure.reason}."
         if self.failure is not None:
             return self.failure.detail
         return "The stream ended before the announced number of tokens."
@@ -249,7 +244,7 @@
     def _open(self, attempt: Attempt, progress: _Progress) -> Source:
         if progress.stream_id:
             return self._reopen(attempt, progress)
-        call = GenerateCall(
+        call = upstreams.GenerateCall(
             request_id=self._request.request_id,
             attempt_id=progress.attempt_id,
             model=self._find_model(attempt.version),
@@ -257,8 +252,7 @@
             continue_from=self._delivered_text,
             first_index=self._assembler.next_index,
             max_tokens=self._prompt.max_tokens,
-            priority=self._request.priority_class.rank,
-            seed=0,
+            priority=self._request.priority_class,
         )
         return self._context.engines.generate(make_address(attempt.choice.view), call)
 
@@ -280,19 +274,24 @@
         self,
         attempt: Attempt,
         progress: _Progress,
-        event: EngineEvent | UpstreamFailure,
+        event: upstreams.EngineEvent | upstreams.UpstreamFailure,
     ) -> list[GenerationEvent]:
         """Take one event of the engine and return what the caller gets."""
         now = self._clock.now()
         match event:
-            case EngineStart():
-                self._dispatcher.note_start(attempt, event.cached_tokens, now)
+            case upstreams.Opened():
+                self._dispatcher.note_load(attempt.choice.view, event.load, now)
+                if event.leaving:
+                    self._dispatcher.note_leaving(attempt.choice.view)
+                return []
+            case upstreams.Started():
+                self._dispatcher.note_start(attempt, event.cached_tokens)
                 return self._offer_resume(attempt, progress, event.stream_id)
-            case EngineToken():
+            case upstreams.Token():
                 token = TokenEvent(event.attempt_id, event.index, event.text)
                 conclusion = self._assembler.accept(token, now)
                 return self._deliver(attempt, progress, conclusion)
-            case EngineDone():
+            case upstreams.Finished():
                 self._dispatcher.note_load(attempt.choice.view, event.load, now)
                 done = DoneEvent(event.attempt_id, event.count)
                 progress.announced = True
@@ -339,14 +338,18 @@
             progress.quality = ResponseQuality.WRONG_LENGTH
             return
         progress.quality = ResponseQuality.FAILED
-        if not isinstance(progress.failure, NotSent):
+        if not isinstance(progress.failure, upstreams.NotSent):
             await self._detect_loss(attempt)
 
     async def _detect_loss(self, attempt: Attempt) -> None:
         """Tell a lost process from a cut connection by connecting once more."""
         address = make_address(attempt.choice.view)
-        load = await self._context.engines.load(address)
-        if isinstance(load, Err) and isinstance(load.err_value, NotSent):
+        # A connection of its own: a kept one may break without the process being gone.
+        probe = upstreams.PlainCall(
+            operation="probe", request_id="probe", attempt_id="probe"
+        )
+        answer = await self._context.probes.call(address, probe, PROBE_TIMEOUT_MS)
+        if isinstance(answer, Err) and isinstance(answer.err_value, upstreams.NotSent):
             self._dispatcher.lose(attempt, self._clock.now())
 
     def _conclude(self, attempt: Attempt, progress: _Progress) -> None:
--- a/libs/daemon/src/waxwingbarrow/daemon/_calls.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_calls.py
@@ -29,6 +29,7 @@
     NotSent,
     PlainAnswer,
     PlainCall,
+    Rejected,
     ServiceClient,
     UpstreamFailure,
 )
@@ -83,21 +84,19 @@
         excluded: set[UpstreamId] = set()
         maybe_sent = False
         refusal: Refusal = UpstreamFailed(reason="No attempt succeeded.")
-        for number in range(1, self._max_attempts + 1):
+        for number in range(self._max_attempts):
             now = self._clock.now()
-            if number > 1 and not self._dispatcher.budget.try_spend(now):
+            if number > 0 and not self._dispatcher.budget.try_spend(now):
                 break
             sent = await self._attempt(configuration, request, excluded)
             if isinstance(sent, Err):
                 refusal = sent.err_value
                 break
             match sent.ok_value.result:
-                case Ok(answer) if answer.status < 500:
-                    return Ok(_complete(answer))
                 case Ok(answer):
-                    maybe_sent = True
-                    if number == self._max_attempts:
-                        return Ok(_complete(answer))
+                    return Ok(_complete(answer))
+                case Err(Rejected() as rejected) if _is_answer(rejected):
+                    return Ok(_complete_rejected(rejected))
                 case Err(failure):
                     maybe_sent = maybe_sent or not isinstance(failure, NotSent)
                     refusal = UpstreamFailed(reason=failure.detail)
@@ -125,6 +124,8 @@
             match sent.ok_value.result:
                 case Ok(answer):
                     return _complete(answer)
+                case Err(Rejected() as rejected) if _is_answer(rejected):
+                    return _complete_rejected(rejected)
                 case Err(NotSent() as failure):
                     refusal = NoUpstream(reason=failure.detail)
                     excluded.add(sent.ok_value.attempt.upstream)
@@ -174,15 +175,38 @@
         quality, detail = ResponseQuality.FAILED, ""
         match result:
             case Ok(answer):
-                if answer.status < 500:
-                    quality = ResponseQuality.COMPLETE
+                quality = ResponseQuality.COMPLETE
                 detail = f"status {answer.status}"
-                if answer.leaving:
-                    self._dispatcher.note_leaving(attempt.choice.view)
+                self._note_upstream(attempt, answer, now)
+            case Err(Rejected() as rejected):
+                if _is_answer(rejected):
+                    quality = ResponseQuality.COMPLETE
+                detail = f"status {rejected.status}"
+                self._note_upstream(attempt, rejected, now)
             case Err(failure):
                 detail = failure.detail
         self._dispatcher.finish(configuration, request, attempt, quality, now, detail)
 
+    def _note_upstream(
+        self, attempt: Attempt, said: PlainAnswer | Rejected, now: Instant
+    ) -> None:
+        self._dispatcher.note_load(attempt.choice.view, said.load, now)
+        if said.leaving:
+            self._dispatcher.note_leaving(attempt.choice.view)
+
+
+def _is_answer(rejected: Rejected) -> bool:
+    """Return whether a status is the service's own answer to the request.
+
+    A time-out, a rate limit and a server error say nothing about the request itself.
+    """
+    return 400 <= rejected.status < 500 and rejected.status not in (408, 429)
+
+
+def _complete_rejected(rejected: Rejected) -> Completed:
+    body = rejected.reason.encode()
+    return Completed(rejected.status, "text/plain; charset=utf-8", body)
+
 
 def _complete(answer: PlainAnswer) -> Completed:
     return Completed(answer.status, answer.content_type, answer.body)
--- a/libs/daemon/src/waxwingbarrow/daemon/_control.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_control.py
@@ -19,7 +19,6 @@
     OutcomeUnknown,
     Refusal,
     ServiceName,
-    VersionName,
 )
 from waxwingbarrow.daemon._logs import get_logger
 from waxwingbarrow.document import ServiceDocument, read_document
@@ -46,7 +45,6 @@
     Record,
     VerdictBody,
     VerdictKey,
-    VerdictKind,
     Writer,
     apply,
     checkpoint_records,
@@ -333,16 +331,8 @@
             case Ignored(reason=why):
                 return Err(LogUnavailable(reason=f"The record was ignored: {why}."))
 
-    async def agree_verdict(
-        self,
-        service: ServiceName,
-        revision: int,
-        version: VersionName,
-        kind: VerdictKind,
-        reason: str,
-    ) -> None:
+    async def agree_verdict(self, body: VerdictBody) -> None:
         """Record a verdict; a failure is left to the next evaluation."""
-        body = VerdictBody(service, revision, version, kind, reason)
         applied = await self._append(body)
         if isinstance(applied, Err):
             logger.warning("A verdict was not recorded: %s", applied.err_value.detail)
--- a/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
@@ -34,7 +34,8 @@
     hash_prefix,
 )
 from waxwingbarrow.streams import ResumeToken
-from waxwingbarrow.upstreams import EngineLoad, UpstreamAddress
+from waxwingbarrow.upstreams import LoadReport as ReportedLoad
+from waxwingbarrow.upstreams import UpstreamAddress
 
 CHARS_PER_TOKEN = 4  # usual for English text; only ratios between prompts matter here
 
@@ -159,7 +160,14 @@
         )
         if isinstance(chosen, Err):
             return chosen
-        attempt = Attempt(chosen.ok_value, fingerprint, prompt_tokens, version, now)
+        attempt = Attempt(
+            chosen.ok_value,
+            fingerprint,
+            prompt_tokens,
+            wanted.prefix_blocks,
+            version,
+            now,
+        )
         self._start(request, wanted, attempt, now)
         return Ok(attempt)
 
@@ -240,7 +248,7 @@
         self.crashes.start(fingerprint, view.upstream, view.incarnation)
         return Attempt(choice, fingerprint, 0, (), token.version, now)
 
-    def note_start(self, attempt: Attempt, cached_tokens: int, now: Instant) -> None:
+    def note_start(self, attempt: Attempt, cached_tokens: int) -> None:
         """Note that the engine began the answer, and what it found in its cache."""
         view = attempt.choice.view
         self.fleet.start_answer(view, attempt.prompt_tokens)
@@ -257,14 +265,12 @@
             )
 
     def note_load(
-        self, view: UpstreamView, load: EngineLoad | None, now: Instant
+        self, view: UpstreamView, load: ReportedLoad | None, now: Instant
     ) -> None:
         """Take over the load that came with an answer."""
         if load is None:
             return
         self.fleet.report_load(view.upstream, view.incarnation, make_load(load, now))
-        if load.leaving:
-            self.note_leaving(view)
 
     def note_leaving(self, view: UpstreamView) -> None:
         """Note that an upstream itself says that it is leaving."""
@@ -287,7 +293,7 @@
         if rollout is None or version != rollout.to_version:
             return version
         agreed = self._control.find_agreed(configuration)
-        share = self._rollouts.compute_share(configuration, agreed, now)
+        share = self._rollouts.decide(configuration, agreed, now).share
         # When all requests go to the new version, the old one may have no upstreams.
         return version if share.percent >= 100 else rollout.from_version
 
@@ -297,13 +303,13 @@
     return UpstreamAddress(view.upstream, view.address)
 
 
-def make_load(load: EngineLoad, now: Instant) -> LoadReport:
+def make_load(load: ReportedLoad, now: Instant) -> LoadReport:
     """Return a load report as the fleet keeps it."""
     return LoadReport(
-        in_flight=load.running + load.waiting,
+        in_flight=load.in_flight,
         queued_tokens=load.queued_tokens,
         prefill_tokens_per_s=load.prefill_tokens_per_s,
         decode_tokens_per_s=load.decode_tokens_per_s,
-        batch_limit=load.batch_limit,
-        reported_at=now,
+        batch_limit=max(1, load.batch_limit),
+        reported_at=now.plus_ms(-load.age_ms),
     )
--- a/libs/daemon/src/waxwingbarrow/daemon/_events.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_events.py
@@ -8,7 +8,7 @@
 from waxwingbarrow.daemon._dispatch import Attempt, Dispatcher
 from waxwingbarrow.daemon._requests import CallerRequest
 from waxwingbarrow.streams import ResumeKeys, ResumeToken, Token, seal_token
-from waxwingbarrow.upstreams import EngineClient
+from waxwingbarrow.upstreams import EngineClient, ServiceClient
 
 
 @attrs.frozen
@@ -93,12 +93,15 @@
 
     Parameters
     ----------
+    probes : ServiceClient
+        Tells whether an upstream still accepts connections.
     stopping : asyncio.Event
         Set when open streams are to be handed over.
     """
 
     dispatcher: Dispatcher
     engines: EngineClient
+    probes: ServiceClient
     clock: Clock
     keys: ResumeKeys
     policy: GenerationPolicy
--- a/libs/daemon/src/waxwingbarrow/daemon/_fleet.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_fleet.py
@@ -26,6 +26,8 @@
 # An upstream that the lagging list no longer shows is kept for a while: a list read
 # from a lagging replica may lack it.
 FORGET_AFTER_MS = 30_000
+# Older load says nothing about the present; only this host's own requests count then.
+STALE_LOAD_MS = 10_000
 
 logger = get_logger("fleet")
 
@@ -225,15 +227,15 @@
             leaving=state is HealthState.LEAVING,
             incarnation=listed.incarnation,
             in_flight=item.own_in_flight,
-            queued_tokens=item.queued_since_report,
+            own_queued_tokens=item.queued_since_report,
             suspicion=state,
         )
-        if load is None:
+        if load is None or now.mono_ms - load.reported_at.mono_ms > STALE_LOAD_MS:
             return view
         return attrs.evolve(
             view,
             in_flight=max(item.own_in_flight, load.in_flight + item.sent_since_report),
-            queued_tokens=load.queued_tokens + item.queued_since_report,
+            queued_tokens=load.queued_tokens,
             prefill_tokens_per_s=load.prefill_tokens_per_s,
             decode_tokens_per_s=load.decode_tokens_per_s,
             batch_limit=load.batch_limit,
--- a/libs/daemon/src/waxwingbarrow/daemon/_host.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_host.py
@@ -37,6 +37,7 @@
 from waxwingbarrow.daemon._settings import Settings
 from waxwingbarrow.daemon._status import HostStatus, ServiceStatus, UpstreamStatus
 from waxwingbarrow.daemon._trace import Trace, TraceEvent
+from waxwingbarrow.document import ServiceKind
 from waxwingbarrow.membership import (
     FailureDetector,
     GossipMap,
@@ -50,7 +51,7 @@
 from waxwingbarrow.routing import CrashSuspicion, HealthPolicy, RoutingPolicy
 from waxwingbarrow.state import Writer
 from waxwingbarrow.streams import ResumeKey, ResumeKeys
-from waxwingbarrow.upstreams import EngineClient, ServiceClient
+from waxwingbarrow.upstreams import EngineClient, ServiceClient, StreamTimeouts
 
 DISPATCH_INTERVAL_S = 0.05
 SHARES_INTERVAL_S = 1.0
@@ -84,7 +85,7 @@
         self._incarnation = Incarnation(
             self._started.wall_ms, self._rng.getrandbits(32)
         )
-        self._session = HttpSession(settings.host_id)
+        self._session = HttpSession(caller=settings.host_id)
         self._make_control()
         self._make_membership()
         self._make_fleet()
@@ -199,10 +200,21 @@
             self._publish_crashes,
             self._publish_leaving,
         )
-        self._engines = EngineClient(
+        self._services = ServiceClient(
+            caller=settings.host_id,
             connect_timeout_ms=settings.connect_timeout_ms,
-            first_event_timeout_ms=settings.first_event_timeout_ms,
-            event_gap_timeout_ms=settings.event_gap_timeout_ms,
+            max_connections=settings.max_concurrent_requests,
+        )
+        self._engines = EngineClient(
+            HttpSession(
+                caller=settings.host_id,
+                connect_timeout_ms=settings.connect_timeout_ms,
+                max_connections=settings.max_concurrent_requests,
+            ),
+            StreamTimeouts(
+                first_byte_ms=settings.first_event_timeout_ms,
+                between_events_ms=settings.event_gap_timeout_ms,
+            ),
         )
         self._observer = FleetObserver(
             settings,
@@ -210,15 +222,19 @@
             self._fleet,
             self._engines,
             self._clock,
+            self._rng,
             self._publish_leaving,
+            self._is_model,
         )
 
     def _make_serving(self) -> None:
         settings = self._settings
         self._admissions = Admissions(self._clock, settings.max_concurrent_requests)
+        self._control.add_listener(self._update_shares)
         generation = GenerationContext(
             dispatcher=self._dispatcher,
             engines=self._engines,
+            probes=self._services,
             clock=self._clock,
             keys=_make_resume_keys(settings),
             policy=GenerationPolicy(
@@ -229,7 +245,7 @@
         )
         calls = Calls(
             self._dispatcher,
-            ServiceClient(connect_timeout_ms=settings.connect_timeout_ms),
+            self._services,
             self._clock,
             settings.max_attempts,
             settings.call_timeout_ms,
@@ -255,10 +271,13 @@
         app = make_app(
             [*callers.list_routes(), *operators.list_routes()],
             self._metrics,
-            lambda: self._lifecycle.is_ready,
+            lambda: self._lifecycle.reports_ready,
         )
+        # Streams that are handed over need until their next event to end.
         self._server = HttpServer(
-            app, settings.caller_address, settings.drain_timeout_ms
+            app,
+            settings.caller_address,
+            settings.drain_timeout_ms + settings.event_gap_timeout_ms,
         )
 
     # Background work.
@@ -297,11 +316,14 @@
 
     async def _run_rollouts(self) -> None:
         """Judge rollouts, spread evidence, and record verdicts where it is the duty."""
+        evidence_due_ms = 0
         while True:
             await asyncio.sleep(self._settings.rollout_interval_ms / 1000)
             now = self._clock.now()
-            for evidence in self._rollouts.list_own_evidence():
-                self._gossip.put_evidence(evidence, now)
+            if now.mono_ms >= evidence_due_ms:
+                evidence_due_ms = now.mono_ms + self._settings.evidence_interval_ms
+                for evidence in self._rollouts.list_own_evidence():
+                    self._gossip.put_evidence(evidence, now)
             for configuration in tuple(self._control.configurations.values()):
                 await self._judge(configuration, now)
 
@@ -312,31 +334,34 @@
         if self._rollouts.withdrawals != before:
             self._gossip.put_withdrawals(self._rollouts.withdrawals, now)
         if due is not None and self._has_duty(f"verdict/{due.service}", now):
-            await self._control.agree_verdict(
-                due.service, due.revision, due.version, due.kind, due.reason
-            )
+            await self._control.agree_verdict(due)
 
     async def _run_shares(self) -> None:
         """Gossip demand and recompute this host's shares of the accounts' limits."""
         while True:
             now = self._clock.now()
             self._gossip.put_demand(self._admissions.list_demand(now), now)
-            views = self._peers.roster.list_members(now)
-            own = self._settings.host_id
-            heard = {
-                view.member.host_id: now
-                for view in views
-                if view.member.host_id != own and view.liveness is not Liveness.DEAD
-            }
-            self._admissions.update_shares(
-                self._control.configurations,
-                self._gossip.list_demand(heard),
-                heard,
-                max(1, len(views)),
-                now,
-            )
+            self._update_shares()
             await asyncio.sleep(SHARES_INTERVAL_S)
 
+    def _update_shares(self) -> None:
+        """Recompute the shares; also at once when a document comes into force."""
+        now = self._clock.now()
+        views = self._peers.roster.list_members(now)
+        own = self._settings.host_id
+        heard = {
+            view.member.host_id: now
+            for view in views
+            if view.member.host_id != own and view.liveness is not Liveness.DEAD
+        }
+        self._admissions.update_shares(
+            self._control.configurations,
+            self._gossip.list_demand(heard),
+            heard,
+            max(1, len(views)),
+            now,
+        )
+
     async def _run_checkpoints(self) -> None:
         """Write checkpoints where it is the duty, and the first record of the log."""
         while True:
@@ -351,7 +376,7 @@
         while True:
             now = self._clock.now()
             self._lifecycle.update_readiness(self._can_serve())
-            self._metrics.ready.set(1 if self._lifecycle.is_ready else 0)
+            self._metrics.ready.set(1 if self._lifecycle.reports_ready else 0)
             self._metrics.peers.set(len(self._peers.list_peers()))
             for stream, reader in (
                 ("control", self._control.reader),
@@ -418,6 +443,10 @@
             {name: item.revision for name, item in configurations.items()}
         )
 
+    def _is_model(self, service: ServiceName) -> bool:
+        found = self._control.find(service)
+        return found is not None and found.document.kind is ServiceKind.MODEL
+
     def _has_duty(self, duty: str, now: Instant) -> bool:
         own = self._settings.data_centre
         live = [
--- a/libs/daemon/src/waxwingbarrow/daemon/_lifecycle.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_lifecycle.py
@@ -44,7 +44,7 @@
         self._fire("_stop")
 
     @property
-    def is_ready(self) -> bool:
+    def reports_ready(self) -> bool:
         """Whether the balancer should send requests."""
         return self.state == "ready"
 
--- a/libs/daemon/src/waxwingbarrow/daemon/_observers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_observers.py
@@ -1,23 +1,32 @@
 """Observation of the platform's host list, reclaim notices and idle upstreams."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from result import Err, Ok
 
-from waxwingbarrow.core import Clock, Incarnation
+from waxwingbarrow.core import (
+    Clock,
+    Incarnation,
+    ServiceName,
+    UpstreamId,
+)
 from waxwingbarrow.daemon._dispatch import make_address, make_load
 from waxwingbarrow.daemon._fleet import Fleet, ListedUpstream
 from waxwingbarrow.daemon._logs import get_logger
 from waxwingbarrow.daemon._settings import Settings
 from waxwingbarrow.platform import (
     CloudClient,
-    HostListClient,
+    Host,
+    HostList,
+    HostPoller,
+    HostState,
     HttpCloudClient,
     HttpHostListClient,
     HttpSession,
-    ListedHost,
-    ReclaimNotice,
+    Notice,
+    PollPolicy,
 )
 from waxwingbarrow.routing import LeavingSource, UpstreamView
 from waxwingbarrow.upstreams import EngineClient
@@ -44,8 +53,12 @@
         Connections to model engines.
     clock : Clock
         Source of the present time.
+    rng : random.Random
+        Jitter of polls.
     on_leaving : callable
         Called when an upstream was found to be leaving.
+    is_model : callable
+        Whether a service is served by model engines, which report their load.
     """
 
     def __init__(
@@ -55,11 +68,17 @@
         fleet: Fleet,
         engines: EngineClient,
         clock: Clock,
+        rng: random.Random,
         on_leaving: Callable[[], None],
+        is_model: Callable[[ServiceName], bool],
     ) -> None:
         platform = settings.platform
-        self._hosts: HostListClient = HttpHostListClient(
-            session, platform.hosts_address
+        self._poller = HostPoller(
+            HttpHostListClient(session, platform.hosts_address),
+            self._take_hosts,
+            clock,
+            rng,
+            PollPolicy(interval_ms=settings.host_list_interval_ms),
         )
         self._cloud: CloudClient | None = None
         if platform.cloud_address is not None:
@@ -69,37 +88,29 @@
         self._engines = engines
         self._clock = clock
         self._on_leaving = on_leaving
+        self._is_model = is_model
         self._next_notice = 0
         self._reads = asyncio.Semaphore(MAX_LOAD_READS)
-        # Whether the host list was read since the start. Without it the host has no
-        # upstream to route to.
-        self.has_list = False
+
+    @property
+    def has_list(self) -> bool:
+        """Whether the host list was read since the start.
+
+        Without it the host has no upstream to route to.
+        """
+        return self._poller.last_read is not None
 
     async def run(self) -> None:
         """Observe until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_hosts(), name="host-list")
+            group.create_task(self._poller.run(), name="host-list")
             group.create_task(self._watch_load(), name="load")
             if self._cloud is not None:
                 group.create_task(self._watch_notices(self._cloud), name="notices")
 
-    async def _watch_hosts(self) -> None:
-        interval_s = self._settings.host_list_interval_ms / 1000
-        was_readable = True
-        while True:
-            match await self._hosts.list_hosts():
-                case Ok(listed):
-                    self._take_hosts(listed.hosts)
-                    self.has_list = was_readable = True
-                case Err(failure):
-                    if was_readable:
-                        logger.warning("The host list is unreadable: %s", failure)
-                    was_readable = False
-            await asyncio.sleep(interval_s)
-
-    def _take_hosts(self, hosts: tuple[ListedHost, ...]) -> None:
+    def _take_hosts(self, listed: HostList) -> None:
         before = self._fleet.list_leaving()
-        upstreams = (_to_upstream(host) for host in hosts if host.service)
+        upstreams = (_to_upstream(host) for host in listed.hosts if host.service)
         self._fleet.update_list(upstreams, self._clock.now())
         if self._fleet.list_leaving() != before:
             self._on_leaving()
@@ -108,19 +119,24 @@
         while True:
             match await cloud.read_notices(self._next_notice):
                 case Ok(page):
-                    self._next_notice = page.next_number
+                    self._next_notice = page.next
                     for notice in page.notices:
                         self._take_notice(notice)
                 case Err():
                     pass
             await asyncio.sleep(NOTICE_INTERVAL_S)
 
-    def _take_notice(self, notice: ReclaimNotice) -> None:
-        view = self._fleet.find(notice.host, self._clock.now())
-        if view is None:
+    def _take_notice(self, notice: Notice) -> None:
+        upstream = UpstreamId(notice.host)
+        view = self._fleet.find(upstream, self._clock.now())
+        if notice.incarnation:
+            incarnation = Incarnation.parse(notice.incarnation)
+        elif view is not None:
+            incarnation = view.incarnation
+        else:
             return
         source = LeavingSource.NOTICE
-        if self._fleet.report_leaving(view.upstream, view.incarnation, source):
+        if self._fleet.report_leaving(upstream, incarnation, source):
             self._on_leaving()
 
     async def _watch_load(self) -> None:
@@ -130,7 +146,8 @@
             stale = self._fleet.list_stale(
                 self._settings.load_interval_ms, self._clock.now()
             )
-            await asyncio.gather(*(self._read_load(view) for view in stale))
+            engines = (view for view in stale if self._is_model(view.service))
+            await asyncio.gather(*(self._read_load(view) for view in engines))
 
     async def _read_load(self, view: UpstreamView) -> None:
         async with self._reads:
@@ -140,9 +157,9 @@
             self._fleet.report_load(view.upstream, view.incarnation, report)
 
 
-def _to_upstream(host: ListedHost) -> ListedUpstream:
+def _to_upstream(host: Host) -> ListedUpstream:
     return ListedUpstream(
-        upstream=host.host,
+        upstream=UpstreamId(host.host),
         incarnation=Incarnation.parse(host.incarnation),
         service=host.service,
         version=host.version,
@@ -151,5 +168,5 @@
         zone=host.zone,
         price_per_hour=host.price_per_hour,
         checks_fencing=host.checks_fencing,
-        leaving=host.state == "leaving",
+        leaving=host.state is HostState.LEAVING,
     )
--- a/libs/daemon/src/waxwingbarrow/daemon/_rollouts.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_rollouts.py
@@ -15,6 +15,7 @@
 from waxwingbarrow.daemon._logs import get_logger
 from waxwingbarrow.document import Rollout
 from waxwingbarrow.rollout import (
+    Decision,
     Done,
     Evidence,
     EvidenceKey,
@@ -22,31 +23,27 @@
     Move,
     OriginEvidence,
     ResponseQuality,
-    Running,
-    Share,
     Verdict,
     Withdrawals,
     Withdrawn,
-    compute_share,
-    decide_verdict,
+    decide_rollout,
     make_move,
     make_withdrawal,
     pick_version,
 )
-from waxwingbarrow.state import AgreedVerdict, VerdictKind
+from waxwingbarrow.state import AgreedVerdict, VerdictBody, VerdictKind
+
+DECISION_LIFETIME_MS = 250
 
 logger = get_logger("rollouts")
 
 
 @attrs.frozen
-class VerdictDue:
-    """A verdict that the log does not hold yet."""
-
-    service: ServiceName
+class _KeptDecision:
     revision: int
-    version: VersionName
-    kind: VerdictKind
-    reason: str
+    agreed: AgreedVerdict | None
+    decided_ms: int
+    decision: Decision
 
 
 class Rollouts:
@@ -64,7 +61,9 @@
         self._host_id = host_id
         self._incarnation = incarnation
         self._recorders: dict[ServiceName, tuple[int, EvidenceRecorder]] = {}
+        self._decisions: dict[ServiceName, _KeptDecision] = {}
         self._decided_ms: dict[tuple[ServiceName, int], int] = {}
+        self._is_dirty = False
         self.evidence = Evidence()
         self.withdrawals = Withdrawals()
 
@@ -77,6 +76,8 @@
         merged = self.withdrawals.merge(withdrawals)
         is_new = merged != self.withdrawals
         self.withdrawals = merged
+        if is_new:
+            self._decisions.clear()
         return is_new
 
     def drop_outdated(self, revisions: dict[ServiceName, int]) -> None:
@@ -91,6 +92,37 @@
             )
         )
 
+    def decide(
+        self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
+    ) -> Decision:
+        """Return the present share and verdict of a rollout.
+
+        The decision is kept for a short time, because an assessment of all evidence
+        takes milliseconds and each request needs its result.
+        """
+        service, revision = configuration.document.service, configuration.revision
+        known = self._decisions.get(service)
+        if (
+            known is not None
+            and known.revision == revision
+            and known.agreed == agreed
+            and now.mono_ms - known.decided_ms < DECISION_LIFETIME_MS
+        ):
+            return known.decision
+        self._take_own_evidence()
+        decision = decide_rollout(
+            configuration.document,
+            revision,
+            self.evidence,
+            self._to_verdict(configuration, agreed, now),
+            self.withdrawals,
+            now,
+        )
+        self._decisions[service] = _KeptDecision(
+            revision, agreed, now.mono_ms, decision
+        )
+        return decision
+
     def pick(
         self,
         configuration: Configuration,
@@ -99,21 +131,11 @@
         now: Instant,
     ) -> VersionName:
         """Return the version for a request."""
-        share = self.compute_share(configuration, agreed, now)
-        return pick_version(configuration.document, share, request_id)
-
-    def compute_share(
-        self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
-    ) -> Share:
-        """Return the present share of the new version."""
-        return compute_share(
-            configuration.document,
-            configuration.revision,
-            self.evidence,
-            self._to_verdict(configuration, agreed, now),
-            self.withdrawals,
-            now,
-        )
+        document = configuration.document
+        if document.rollout is None:
+            return document.stable_version
+        share = self.decide(configuration, agreed, now).share
+        return pick_version(document, share, request_id)
 
     def record(
         self,
@@ -130,7 +152,13 @@
             return
         recorder = self._open_recorder(configuration, rollout)
         recorder.record(version, route, quality, latency_ms, now)
-        self.evidence = self.evidence.add(recorder.snapshot())
+        self._is_dirty = True
+
+    def _take_own_evidence(self) -> None:
+        if self._is_dirty:
+            self._is_dirty = False
+            for evidence in self.list_own_evidence():
+                self.evidence = self.evidence.add(evidence)
 
     def list_own_evidence(self) -> tuple[OriginEvidence, ...]:
         """Return this host's counters for gossip."""
@@ -138,68 +166,54 @@
 
     def evaluate(
         self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
-    ) -> VerdictDue | None:
+    ) -> VerdictBody | None:
         """Judge a rollout; a withdrawal takes effect on this host at once.
 
         Returns
         -------
-        VerdictDue or None
+        VerdictBody or None
             The verdict to record in the log, if it is not there yet.
         """
         document, revision = configuration.document, configuration.revision
         if document.rollout is None or agreed is not None:
             return None
         version = document.rollout.to_version
-        known = self.withdrawals.find(document.service, revision, version)
-        if known is not None:
-            return VerdictDue(
-                document.service,
-                revision,
-                version,
-                VerdictKind.WITHDRAWN,
-                known.reason,
-            )
-        match decide_verdict(document, revision, self.evidence, now):
+        match self.decide(configuration, agreed, now).verdict:
             case Withdrawn() as verdict:
                 withdrawal = make_withdrawal(document, revision, verdict)
-                if withdrawal is not None:
-                    self.withdrawals = self.withdrawals.add(withdrawal)
-                logger.warning(
-                    "Withdrew %s of %s: %s.", version, document.service, verdict.reason
-                )
-                return VerdictDue(
+                assert withdrawal is not None
+                if self.learn_withdrawals(Withdrawals((withdrawal,))):
+                    logger.warning(
+                        "Withdrew %s of %s: %s.",
+                        version,
+                        document.service,
+                        verdict.reason,
+                    )
+                return VerdictBody(
                     document.service,
                     revision,
                     version,
                     VerdictKind.WITHDRAWN,
                     verdict.reason,
+                    by_deadline=withdrawal.by_deadline,
                 )
             case Done():
-                return VerdictDue(
+                return VerdictBody(
                     document.service, revision, version, VerdictKind.DONE, "proven"
                 )
-            case Running():
-                return None
+        return None
 
     def describe(
         self, configuration: Configuration, agreed: AgreedVerdict | None, now: Instant
     ) -> Move | None:
         """Return the rollout as operators see it."""
-        document, revision = configuration.document, configuration.revision
-        if document.rollout is None:
-            return None
-        verdict = self._to_verdict(configuration, agreed, now)
-        if verdict is None:
-            known = self.withdrawals.find(
-                document.service, revision, document.rollout.to_version
-            )
-            verdict = (
-                Withdrawn(known.reason, known.at_ms)
-                if known is not None
-                else decide_verdict(document, revision, self.evidence, now)
-            )
-        share = self.compute_share(configuration, agreed, now)
-        return make_move(document, revision, share, verdict)
+        decision = self.decide(configuration, agreed, now)
+        return make_move(
+            configuration.document,
+            configuration.revision,
+            decision.share,
+            decision.verdict,
+        )
 
     def _open_recorder(
         self, configuration: Configuration, rollout: Rollout
--- a/libs/daemon/src/waxwingbarrow/daemon/_settings.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_settings.py
@@ -14,6 +14,7 @@
     Zone,
     in_range,
     matches,
+    not_empty,
     read_data,
 )
 
@@ -33,13 +34,14 @@
     "host_list_interval_ms": 1_000,
     "load_interval_ms": 1_000,
     "rollout_interval_ms": 500,
+    "evidence_interval_ms": 5_000,
     "checkpoint_interval_ms": 30_000,
     "log_retention_s": 86_400,
     "max_clock_skew_ms": 2_000,
     "key_max_age_s": 43_200,
     "outcome_max_bytes": 16_384,
     "log_append_timeout_ms": 5_000,
-    "log_poll_ms": 5_000,
+    "log_poll_ms": 2_000,
     "connect_timeout_ms": 500,
     "first_event_timeout_ms": 10_000,
     "event_gap_timeout_ms": 5_000,
@@ -91,7 +93,7 @@
     key_id: str = setting("Name of the key, carried in tokens.", NAME)
     secret: str = attrs.field(
         repr=False,
-        validator=matches(r".{32,}", "at least 32 characters"),
+        validator=matches(r".{32,}", "at least 32 characters", is_secret=True),
         metadata={"help": "Secret shared by all entry hosts."},
     )
 
@@ -117,7 +119,7 @@
     platform: PlatformSettings = setting("Addresses of the platform's services.")
     token_keys: tuple[TokenKey, ...] = setting(
         "Keys for resume tokens; the first one signs, all are accepted.",
-        attrs.validators.min_len(1),
+        not_empty("at least one key"),
     )
     peers: tuple[str, ...] = setting(
         "Peer addresses to contact at the start.", each(ADDRESS)
@@ -142,6 +144,10 @@
     rollout_interval_ms: int = setting(
         "Time between evaluations of a rollout.", in_range(50, 10_000, "ms")
     )
+    evidence_interval_ms: int = setting(
+        "Time between two gossip items with the host's rollout evidence.",
+        in_range(100, 60_000, "ms"),
+    )
     checkpoint_interval_ms: int = setting(
         "Time between checks whether a checkpoint is due.",
         in_range(100, 3_600_000, "ms"),
