Test the appender under random faults

Cause: the fault tables try one fault at a time; overlapping outages, lost answers and short deadlines were not covered. Ruled out: more single cases, which do not overlap.

--- a/libs/platform/tests/test_log.py
+++ b/libs/platform/tests/test_log.py
@@ -337,3 +337,51 @@
     async with open_rig() as rig:
         rig.platform.set_faults(PlatformFaults(refuse=True))
         assert isinstance(await rig.read_to_tail(200), Err)
+
+
+SOAK_FAULTS = [
+    PlatformFaults(),
+    PlatformFaults(refuse=True),
+    PlatformFaults(fail_unclear=True),
+    PlatformFaults(break_before=True),
+    PlatformFaults(slow_ms=30),
+    PlatformFaults(slow_ms=150, operations=("append",)),
+    PlatformFaults(lose_answers=3),
+    PlatformFaults(lose_answers=1, lose_by_hanging=True),
+    PlatformFaults(replay_entries=5, lose_answers=1),
+    PlatformFaults(cut_callers=("host-1",)),
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_answers_agree_with_the_log_under_random_faults(seed: int):
+    """Compares every answer with the records that the log really holds."""
+    rng = random.Random(seed)
+    async with open_rig(timeout_ms=100) as rig:
+        tasks = {}
+        for number in range(120):
+            if number % 6 == 0:
+                rig.platform.set_faults(rng.choice(SOAK_FAULTS))
+            name = f"r{number}"
+            within_ms = rng.choice([50, 300, 1_000])
+            tasks[name] = asyncio.create_task(rig.append(name, within_ms))
+            await asyncio.sleep(rng.uniform(0, 0.03))
+        rig.platform.set_faults(PlatformFaults())
+        answers = dict(zip(tasks, await asyncio.gather(*tasks.values()), strict=True))
+        await asyncio.sleep(0.3)
+        assert (await rig.read_to_tail()).is_ok()
+        assert len(set(rig.stored_ids)) == len(rig.stored_ids)
+        assert rig.seen_ids == rig.stored_ids
+        assert [entry.offset for entry in rig.seen] == list(range(len(rig.seen)))
+        kinds = set()
+        for name, answer in answers.items():
+            match answer:
+                case Ok(offset):
+                    assert rig.stored_ids[offset] == name
+                case Err(NotSent()):
+                    assert name not in rig.stored_ids
+                case Err(failure):
+                    assert isinstance(failure, Unsettled)
+            kinds.add(type(answer.ok_value if answer.is_ok() else answer.err()))
+        assert int in kinds
+        assert len(kinds) >= 2
