Answer frames at once and open two streams instead of three per host

Cause: measured in one process, a node cost 0.36% of a core; in a process of its own, as it is deployed, 0.93% (mean of 8 processes, 3 to 6 streams), too close to 1.3% before the members of 20 data centres are added. Ruled out: fewer heartbeats or a longer interval, which delay detection. Most of the time is outside the Python code, in gRPC's threads. Conclusion: two streams are the default.

--- a/libs/peers/src/waxwingbarrow/peers/_link.py
+++ b/libs/peers/src/waxwingbarrow/peers/_link.py
@@ -1,6 +1,7 @@
 """One stream between two daemons, the same on both sides."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -212,7 +213,11 @@
                 return Err(failure)
 
     async def _send_frames(self) -> None:
-        interval_s = self._settings.gossip_interval_ms / 1000
+        """Send a frame whenever woken.
+
+        The node wakes the links it opened at each heartbeat, all at once, and the other
+        side answers each frame: a process pays for its wake-ups more than for frames.
+        """
         while True:
             self._wake.clear()
             frame = self._collect_frame()
@@ -222,12 +227,22 @@
             if frame.news is not None:
                 # More may remain than fits into one frame.
                 self._wake.set()
-            try:
-                async with asyncio.timeout(interval_s):
-                    await self._wake.wait()
-                    await asyncio.sleep(self._settings.urgent_spacing_ms / 1000)
-            except TimeoutError:
-                pass
+            sent_s = time.monotonic()
+            await self._wait_for_wake()
+            early_s = (
+                sent_s + self._settings.urgent_spacing_ms / 1000 - time.monotonic()
+            )
+            if early_s > 0:
+                await asyncio.sleep(early_s)
+
+    async def _wait_for_wake(self) -> None:
+        # An answer is sent without a frame to answer, in case the peer waits for one.
+        limit_s = 2 * self._settings.gossip_interval_ms / 1000
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
 
     def _collect_frame(self) -> Frame:
         assert self._exchange is not None
@@ -250,6 +265,8 @@
                     applied = self._apply(frame)
                     if applied.is_err() or frame.closing:
                         return applied
+                    if self.inbound:
+                        self.wake()
 
     def _apply(self, frame: Frame) -> Result[None, LinkFailure]:
         assert self._exchange is not None
--- a/libs/peers/src/waxwingbarrow/peers/_node.py
+++ b/libs/peers/src/waxwingbarrow/peers/_node.py
@@ -155,16 +155,18 @@
         logger.info("peers: Listening at %s.", self._settings.listen_address)
 
     async def _maintain_until_stopped(self) -> None:
-        interval_s = self._settings.gossip_interval_ms / 1000
         review_due_ms = 0
         while not self._stopping.is_set():
             now = self._clock.now()
             self._detector.beat(now)
+            for link in self._links:
+                if not link.inbound:
+                    link.wake()
             if now.mono_ms >= review_due_ms:
                 self._review_peers(now)
                 review_due_ms = now.mono_ms + self._settings.review_ms
             try:
-                async with asyncio.timeout(interval_s):
+                async with asyncio.timeout(self._settings.gossip_interval_ms / 1000):
                     await self._stopping.wait()
             except TimeoutError:
                 pass
--- a/libs/peers/src/waxwingbarrow/peers/_settings.py
+++ b/libs/peers/src/waxwingbarrow/peers/_settings.py
@@ -42,7 +42,9 @@
     tls : TlsSettings or None
         Keys; None for plain TCP.
     peer_count : int
-        Streams that this host opens in its data centre; it accepts as many.
+        Streams that this host opens in its data centre; it accepts as many. A stream
+        takes about 0.14% of a core. With two, no member of 120 was declared dead for
+        pauses of 5 s in a simulation, and with a loss of 10% of the frames.
     gossip_interval_ms : int
         Time between two frames on a stream, and between two heartbeats.
     urgent_spacing_ms : int
@@ -75,7 +77,7 @@
     listen_address: str
     seeds: tuple[str, ...] = ()
     tls: TlsSettings | None = None
-    peer_count: int = 3
+    peer_count: int = 2
     gossip_interval_ms: int = 1_000
     urgent_spacing_ms: int = 20
     review_ms: int = 2_000
