--- a/libs/bench/src/waxwingbarrow/bench/_demo.py
+++ b/libs/bench/src/waxwingbarrow/bench/_demo.py
@@ -30,7 +30,7 @@
 MODEL_REQUESTS = 60
 BOOKINGS = 60
 MAX_TOKENS = 40
-CALLER_DEADLINE_S = 20.0
+CALLER_DEADLINE_S = 12.0
 UPSTREAMS = (
     UpstreamPlan("engine-a1", "engine", MODEL_SERVICE, "v1", "dc-a"),
     UpstreamPlan("engine-a2", "engine", MODEL_SERVICE, "v1", "dc-a"),
--- a/libs/daemon/src/waxwingbarrow/daemon/_host.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_host.py
@@ -376,6 +376,7 @@
         while True:
             now = self._clock.now()
             self._lifecycle.update_readiness(self._can_serve())
+            self._stop_if_superseded()
             self._metrics.ready.set(1 if self._lifecycle.reports_ready else 0)
             self._metrics.peers.set(len(self._peers.list_peers()))
             for stream, reader in (
@@ -387,6 +388,19 @@
                 self._metrics.log_lag_s.labels(stream).set(lag_ms / 1000)
             await asyncio.sleep(READINESS_INTERVAL_S)
 
+    def _stop_if_superseded(self) -> None:
+        """Stop if another process runs under this host's name.
+
+        Its incarnation is higher, so no host would believe what this one says.
+        """
+        if self._gossip_map.superseded_by is not None and not self._is_stopping:
+            logger.error("A newer process runs as %s.", self._settings.host_id)
+            self.drain()
+
+    @property
+    def _is_stopping(self) -> bool:
+        return self._stop_requested.is_set()
+
     def _can_serve(self) -> bool:
         """Return whether the host knows the configuration, from the log or a peer."""
         return self._control.is_known and self._observer.has_list
