Keep configurations in force while expired log entries are replaced

Cause: a host whose next control entry had expired from the log started from an empty, incomplete state and rebuilt its documents from it, so it dropped every document until a checkpoint was read. While incomplete it asked peers for offset 0 and adopted whatever they sent, also a state that ends before the log's first entry. The log reader never goes back, so such a host misses the entries in between and ignores all later ones as behind a gap. A publication through an incomplete host was appended, ignored as buffered and refused as "not run", although it takes effect once a checkpoint is read.

Ruled out: the fold itself (an incomplete state never applies documents) and the peers' frames (they only repeat what the receiver reports to lack).

The last complete state stays in force, what peers send is collected until it reaches the log's first entry, and an incomplete host appends no publication.

Do not pass on "not run" to a joining attempt or for an unclaimed key

Cause: an attempt that joined another one on the same host got its response unchanged. If the joined attempt had declared itself the first, the joining one was told "not run" while an attempt in between could still win its claim on another host. A query of a key without a claim answered "not_run" although a claim may be on its way to the log.

Before: both cases of test_bookings.py fail.

--- a/libs/daemon/src/waxwingbarrow/daemon/_bookings.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_bookings.py
@@ -351,7 +351,11 @@
     ) -> Response:
         execution = self._executions.get(claim.own.claim_id)
         if execution is not None:
-            return await asyncio.shield(execution.response)
+            response = await asyncio.shield(execution.response)
+            # The joined attempt may have declared itself the first; this one has not.
+            return response.map_err(
+                lambda refusal: refuse_unclaimed(refusal, request.first_attempt)
+            )
         if claim.answer is not None:
             return Ok(claim.answer)
         view = self._claims.ledger.find(identity)
--- a/libs/daemon/src/waxwingbarrow/daemon/_callers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_callers.py
@@ -208,7 +208,8 @@
         )
         match found:
             case Ok(KeyUnknown()):
-                return JSONResponse({"outcome": "not_run"})
+                # Not "not run": a claim that is being appended may still win.
+                return JSONResponse({"outcome": "unknown", "claimed": False})
             case Ok(BookedAnswer() as answer):
                 return _make_booked_response(answer)
             case Err(refusal):
--- a/libs/daemon/src/waxwingbarrow/daemon/_control.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_control.py
@@ -40,6 +40,7 @@
     Conflict,
     ControlState,
     Ignored,
+    IgnoredReason,
     Malformed,
     PublishBody,
     Record,
@@ -128,6 +129,8 @@
         self._append_timeout_ms = append_timeout_ms
         self._retention_ms = retention_ms
         self.state: ControlState = start_state(0)
+        self._in_force: ControlState = self.state  # the last complete state
+        self._peer_state: ControlState = self.state  # peers' part of an incomplete one
         self.configurations: dict[ServiceName, Configuration] = {}
         self._texts: dict[int, Configuration] = {}
         self._kept: deque[ControlEntry] = deque(maxlen=KEPT_ENTRIES)
@@ -151,9 +154,9 @@
     @property
     def is_known(self) -> bool:
         """Whether the state can be served from."""
-        return self.state.complete and (
-            self.reader.last_tail_read is not None or self.state.next_offset > 0
-        )
+        if not self.state.complete:
+            return self._in_force.next_offset > 0
+        return self.reader.last_tail_read is not None or self.state.next_offset > 0
 
     def find(self, service: ServiceName) -> Configuration | None:
         """Return the document in force for a service."""
@@ -166,7 +169,7 @@
             return None
         version = document.rollout.to_version
         key = VerdictKey(document.service, configuration.revision, version)
-        return self.state.verdicts.get(key)
+        return self._in_force.verdicts.get(key)
 
     # Entries from the log and from peers.
 
@@ -177,6 +180,7 @@
         if self.state.next_offset >= first_offset:
             return  # a peer has supplied what the log no longer holds
         logger.warning("Offsets below %d have expired.", first_offset)
+        self._peer_state = self._in_force
         self.state = start_state(first_offset)
         self._kept.clear()
 
@@ -210,7 +214,13 @@
                 pass
 
     def _refresh(self) -> None:
-        """Read the documents that changed and notify the listeners."""
+        """Read the documents that changed and notify the listeners.
+
+        The last complete state stays in force while a new one is incomplete.
+        """
+        if not self.state.complete:
+            return
+        self._in_force = self.state
         found: dict[ServiceName, Configuration] = {}
         for service, published in self.state.services.items():
             known = self.configurations.get(service)
@@ -238,7 +248,8 @@
 
     def next_offset(self) -> int:
         """Return the offset of the first entry that this host lacks."""
-        return self.state.next_offset if self.state.complete else 0
+        state = self.state if self.state.complete else self._peer_state
+        return state.next_offset
 
     def read_entries(self, from_offset: int) -> ControlEntries | ControlSnapshot:
         """Return the entries from an offset on, or a snapshot if they are gone."""
@@ -259,10 +270,14 @@
                 logger.warning("A peer sent an unreadable record.")
                 break
             parsed.append((entry.offset, data))
-        if not self.state.complete and parsed and parsed[0][0] == 0:
-            # The peer still has what the log no longer holds.
-            self._replace_state(start_state(0))
-        self.apply_entries(parsed)
+        if self.state.complete:
+            self.apply_entries(parsed)
+            return
+        for offset, data in parsed:
+            self._peer_state, _ = apply(
+                self._peer_state, read_entry(offset, data), is_valid_document
+            )
+        self._complete_from_peer()
 
     def take_peer_snapshot(self, next_offset: int, payload: bytes) -> None:
         """Adopt a state that is ahead of this host's."""
@@ -271,26 +286,38 @@
                 state.next_offset == next_offset
                 and state.next_offset > self.next_offset()
             ):
-                first_offset = self.state.first_offset
-                self._replace_state(attrs.evolve(state, first_offset=first_offset))
-                logger.info("Adopted a peer's state up to %d.", next_offset)
-                self._refresh()
+                if self.state.complete:
+                    self._replace_state(state)
+                else:
+                    self._peer_state = state
+                    self._complete_from_peer()
             case Ok():
                 pass
             case Err(failure):
                 logger.warning("A peer's state is invalid: %s", failure.detail)
 
+    def _complete_from_peer(self) -> None:
+        """Adopt what peers sent once it reaches the first entry that the log holds.
+
+        The reader never goes back, so a state that ends earlier would miss the
+        entries in between for good.
+        """
+        if self._peer_state.next_offset >= self.state.first_offset:
+            self._replace_state(self._peer_state)
+
     def _replace_state(self, state: ControlState) -> None:
-        """Continue from another state with the entries buffered so far."""
+        """Continue from a peer's state with the entries buffered so far."""
         buffered = []
         node = self.state.buffer
         while node is not None:
             buffered.append(node.entry)
             node = node.older
-        self.state = state
+        logger.info("Adopted a peer's state up to %d.", state.next_offset)
+        self.state = attrs.evolve(state, first_offset=self.state.first_offset)
         self._kept.clear()
         for entry in reversed(buffered):
             self.state, _ = apply(self.state, entry, is_valid_document)
+        self._refresh()
 
     # Writes.
 
@@ -314,6 +341,10 @@
         if read.ok_value.service != service:
             reason = f"The document describes {read.ok_value.service!r}."
             return Err(InvalidRequest(reason=reason))
+        if not self.state.complete:
+            # The record would take effect later, unseen by this call.
+            reason = "The host has not read the whole configuration yet."
+            return Err(LogUnavailable(reason=reason, retry_after_s=1.0))
         if base_revision is None:
             current = self.configurations.get(service)
             base_revision = current.revision if current else 0
@@ -328,8 +359,11 @@
                 return Err(Lost(winner, winner_author))
             case Malformed(detail=detail):
                 return Err(InvalidRequest(reason=detail))
+            case Ignored(reason=IgnoredReason.RESERVED_OFFSET):
+                return Err(LogUnavailable(reason="The log was empty; publish again."))
             case Ignored(reason=why):
-                return Err(LogUnavailable(reason=f"The record was ignored: {why}."))
+                # A repeated or buffered record may be in force, now or later.
+                return Err(OutcomeUnknown(reason=f"The record was ignored: {why}."))
 
     async def agree_verdict(self, body: VerdictBody) -> None:
         """Record a verdict; a failure is left to the next evaluation."""
--- /dev/null
+++ b/libs/daemon/tests/test_bookings.py
@@ -0,0 +1,90 @@
+"""Guards against refusals of bookings that say "not run" although one may run."""
+
+import asyncio
+import random
+
+import pytest
+import uuid6
+
+from waxwingbarrow.claims import ClaimPolicy
+from waxwingbarrow.core import (
+    Incarnation,
+    NoUpstream,
+    Outcome,
+    PriorityClass,
+    SystemClock,
+)
+from waxwingbarrow.daemon._bookings import Bookings, NeverSent
+from waxwingbarrow.daemon._requests import CallerRequest
+from waxwingbarrow.document import Route
+from waxwingbarrow.platform import HttpLogClient, HttpSession
+from waxwingbarrow.standins import PlatformFaults, PlatformStandin, serve
+from waxwingbarrow.state import Writer
+
+CLOCK = SystemClock()
+
+
+def make_request(key, first_attempt):
+    now = CLOCK.now()
+    return CallerRequest(
+        request_id=key,
+        service="rota",
+        account="depot",
+        route=Route(route="book", repeatable=False),
+        priority_class=PriorityClass.STANDARD,
+        received=now,
+        deadline_mono_ms=now.mono_ms + 2_000,
+        key=key,
+        first_attempt=first_attempt,
+        body=b"{}",
+    )
+
+
+def make_bookings(address):
+    return Bookings(
+        Writer("h1", Incarnation(1, 1)),
+        HttpLogClient(HttpSession(), address, 500),
+        CLOCK,
+        random.Random(1),
+        ClaimPolicy(),
+        lambda *_: False,
+        poll_ms=100,
+        append_timeout_ms=1_000,
+    )
+
+
+def run(scenario):
+    async def run_with_log():
+        platform = PlatformStandin()
+        async with serve(platform.make_app()) as address:
+            bookings = make_bookings(address)
+            running = asyncio.create_task(bookings.run())
+            try:
+                await scenario(bookings, platform)
+            finally:
+                running.cancel()
+                await asyncio.gather(running, return_exceptions=True)
+
+    asyncio.run(run_with_log())
+
+
+async def refuse_to_connect():
+    return NeverSent(NoUpstream())
+
+
+@pytest.mark.parametrize(
+    "faults", [PlatformFaults(), PlatformFaults(operations=("append",), slow_ms=1_500)]
+)
+def test_joining_attempt_is_not_told_what_holds_for_the_first_one_only(faults):
+    # An attempt between the two may still be on its way through another host.
+    async def scenario(bookings, platform):
+        platform.set_faults(faults)
+        key = str(uuid6.uuid7())
+        first, third = await asyncio.gather(
+            bookings.execute(make_request(key, True), refuse_to_connect, False),
+            bookings.execute(make_request(key, False), refuse_to_connect, False),
+        )
+        assert first.err_value.outcome is Outcome.NOT_RUN
+        assert third.err_value.outcome is Outcome.UNKNOWN
+
+    run(scenario)
