--- a/libs/state/tests/test_leases.py
+++ b/libs/state/tests/test_leases.py
@@ -1,25 +1,18 @@
 """Guards against two hosts that act under the same lease at the same time."""
 
-import random
-
 import pytest
 
 from waxwingbarrow.core import Incarnation, Instant
 from waxwingbarrow.state import (
     KeepLease,
     Lease,
-    LeaseBody,
     LeasePolicy,
     LeaseReadings,
-    LogEntry,
     TakeLease,
     WaitForLease,
     Writer,
-    apply,
     confirm_lease,
     decide_lease,
-    make_control_record,
-    start_state,
 )
 
 POLICY = LeasePolicy(duration_ms=1000, max_clock_skew_ms=200, order_timeout_ms=500)
@@ -84,72 +77,3 @@
 def test_holder_counts_from_before_the_append():
     assert OWN.is_valid(at(1039))
     assert not OWN.is_valid(at(1040))
-
-
-class Host:
-    """A host whose reads and appends are delayed at random."""
-
-    def __init__(self, name, rng):
-        self.writer = Writer(name, Incarnation(1, 1))
-        self.rate = 1 + rng.uniform(-0.05, 0.05)
-        self.state = start_state(0)
-        self.readings = LeaseReadings()
-        self.own = None
-        self.asked = {}
-
-    def now(self, true_ms):
-        return at(int(true_ms * self.rate))
-
-    def read(self, log, true_ms):
-        for entry in log[self.state.next_offset :]:
-            self.state, _ = apply(self.state, entry, lambda _: True)
-        now = self.now(true_ms)
-        self.readings = self.readings.observe(self.state.leases, now)
-        lease = self.state.leases.get("duty")
-        if lease is not None and lease.fencing in self.asked:
-            self.own = confirm_lease(lease, self.asked[lease.fencing])
-
-    def decide(self, true_ms):
-        return decide_lease(
-            "duty",
-            self.state.leases,
-            self.readings,
-            self.own,
-            self.writer,
-            True,
-            POLICY,
-            self.now(true_ms),
-        )
-
-
-def simulate(seed, naive):
-    """Count the moments at which two hosts hold the lease as they see it."""
-    rng = random.Random(seed)
-    hosts = [Host(name, rng) for name in "abc"]
-    opening = LeaseBody("other", "a", 1, 0)
-    log = [LogEntry(0, make_control_record("r0", opening, hosts[0].writer, at(0)))]
-    pending, overlaps, true_ms = [], 0, 0
-    for _ in range(300):
-        true_ms += rng.choice([1, 20, 100, 400])
-        host = rng.choice(hosts)
-        if pending and rng.random() < 0.5:
-            writer, body, asked = pending.pop(rng.randrange(len(pending)))
-            record = make_control_record(f"r{len(log)}", body, writer.writer, at(0))
-            writer.asked[len(log)] = asked
-            log.append(LogEntry(len(log), record))
-        host.read(log, true_ms)
-        decision = host.decide(true_ms)
-        if naive and isinstance(decision, WaitForLease):
-            # Without the wait after reading, only the lease's own time counts.
-            decision = TakeLease(host.state.leases["duty"].fencing)
-        if isinstance(decision, TakeLease) and rng.random() < 0.5:
-            body = LeaseBody("duty", host.writer.host_id, 1000, decision.base_fencing)
-            pending.append((host, body, host.now(true_ms)))
-        held = [h for h in hosts if h.own and h.own.is_valid(h.now(true_ms))]
-        overlaps += len(held) > 1
-    return overlaps
-
-
-def test_no_two_hosts_hold_the_lease_at_once():
-    assert sum(simulate(seed, naive=False) for seed in range(40)) == 0
-    assert sum(simulate(seed, naive=True) for seed in range(40)) > 0
