--- a/libs/bench/src/waxwingbarrow/bench/_at_most_once.py
+++ b/libs/bench/src/waxwingbarrow/bench/_at_most_once.py
@@ -8,11 +8,11 @@
 
 import collections
 import random
-from collections.abc import Mapping
 
 import attrs
 from result import Err
 
+from waxwingbarrow.bench._results import PromiseResult
 from waxwingbarrow.bench._schedules import POLICY, Attempt, Host, Task, World
 from waxwingbarrow.claims import (
     Append,
@@ -60,33 +60,6 @@
 )
 
 
-@attrs.frozen
-class PromiseResult:
-    """Counts over all schedules.
-
-    Parameters
-    ----------
-    cases : int
-        Schedules per design.
-    violations : int
-        Schedules in which the claims design ran a request twice or told "not run" to a
-        caller whose request ran.
-    naive_violations : int
-        Schedules in which the naive design ran a request twice.
-    naive_false_refusals : int
-        Schedules in which the naive design told "not run" falsely.
-    events : Mapping
-        How often each event occurred with the claims design, to show what the
-        schedules cover.
-    """
-
-    cases: int
-    violations: int
-    naive_violations: int
-    naive_false_refusals: int
-    events: Mapping[str, int]
-
-
 class ClaimHost(Host):
     """Host of the claims design."""
 
--- /dev/null
+++ b/libs/bench/src/waxwingbarrow/bench/_booking_proof.py
@@ -0,0 +1,448 @@
+"""Bookings through real processes while the log, services and daemons fail.
+
+The same callers and service faults also meet a naive entry host, which remembers keys
+in its own memory and takes a failure of the upstream for "not run". It must fail: this
+shows that the faults are able to find the violation.
+"""
+
+import asyncio
+import json
+import random
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import uuid6
+from result import Err, Ok
+
+from waxwingbarrow.bench._deployment import (
+    ACCOUNT_KEY,
+    OPERATOR_KEY,
+    DaemonPlan,
+    Deployment,
+    RunningUpstream,
+    UpstreamPlan,
+)
+from waxwingbarrow.bench._documents import BOOKING_SERVICE, make_booking_document
+from waxwingbarrow.bench._results import PromiseResult
+from waxwingbarrow.core import UpstreamId
+from waxwingbarrow.platform import HttpSession
+from waxwingbarrow.upstreams import PlainCall, ServiceClient, UpstreamAddress
+
+ROUTE = "book-assignment"
+CRASH_EXIT_CODE = 70
+# Some callers resend before the first host has answered.
+ATTEMPT_TIMEOUTS_MS = (250, 1_500)
+MAX_ATTEMPTS = 4
+RESEND_PAUSE_S = 0.1
+CALL_TIMEOUT_MS = 800
+APPEND_TIMEOUT_MS = 1_000
+# Longer than every timeout of the daemons, so that a paused one has missed them all.
+PAUSE_S = 3.0
+SETTLE_S = 2.0
+SETTINGS = {
+    "log_append_timeout_ms": APPEND_TIMEOUT_MS,
+    "call_timeout_ms": CALL_TIMEOUT_MS,
+    "connect_timeout_ms": 200,
+    "log_poll_ms": 500,
+    "readiness_grace_ms": 0,
+}
+DAEMONS = (
+    DaemonPlan("host-a1", "dc-a"),
+    DaemonPlan("host-a2", "dc-a"),
+    DaemonPlan("host-b1", "dc-b"),
+)
+SERVICES = (("rota-a1", "dc-a"), ("rota-a2", "dc-a"), ("rota-b1", "dc-b"))
+PLATFORM_FAULTS: Mapping[str, Mapping[str, Any]] = {
+    "append refused": {"refuse": True, "operations": ["append"]},
+    "append failed unclearly": {"fail_unclear": True, "operations": ["append"]},
+    "append broken": {"break_before": True, "operations": ["append"]},
+    "append slow": {"slow_ms": 400, "operations": ["append"]},
+    "append later than its timeout": {"slow_ms": 1_300, "operations": ["append"]},
+    "append answer lost": {"lose_answers": 4},
+    "append answer hanging": {"lose_answers": 2, "lose_by_hanging": True},
+    "append stored twice": {"append_twice": 20},
+    "entries replayed": {"replay_entries": 20},
+    "read refused": {"refuse": True, "operations": ["read"]},
+    "host cut off": {"cut_callers": ["host-b1"]},
+}
+SERVICE_FAULTS: Mapping[str, Mapping[str, Any]] = {
+    "answer lost": {"lose_answers": 2},
+    "answer hanging": {"lose_answers": 2, "lose_by_hanging": True},
+    "answer late": {"late_ms": CALL_TIMEOUT_MS + 400},
+    "run late": {"slow_ms": CALL_TIMEOUT_MS + 400},
+    "failed after all": {"fail_status": 503},
+}
+NAIVE_FAULTS = ("answer lost", "answer late")
+KILL_DELAYS_S = (0.0, 0.02, 0.1, 0.25)
+PAUSE_DELAYS_S = (0.0, 0.02, 0.1)
+
+# Sends one attempt to a host; None if there was no answer.
+Reply = tuple[int, dict[str, Any]] | None
+Post = Callable[[int, str, int, bytes, int], Awaitable[Reply]]
+
+
+@attrs.define
+class Told:
+    """Everything that one caller was told about its booking."""
+
+    key: str
+    completed: int = 0
+    not_run: int = 0
+    outcomes: list[str] = attrs.field(factory=list)
+
+
+async def book(
+    post: Post, hosts: Sequence[int], body: Mapping[str, str], rng: random.Random
+) -> Told:
+    """Send a booking to one host after another until its outcome is known.
+
+    Parameters
+    ----------
+    hosts : Sequence[int]
+        Hosts of the first attempts; later ones go to random other hosts. Every second
+        booking sends its repeated attempts to two hosts at the same time.
+    """
+    told = Told(str(uuid6.uuid7()))
+    data = json.dumps(dict(body)).encode()
+    is_doubled = rng.random() < 0.5
+    timeout_ms = rng.choice(ATTEMPT_TIMEOUTS_MS)
+    last, number = -1, 0
+    while number < MAX_ATTEMPTS:
+        others = [host for host in range(len(DAEMONS)) if host != last]
+        rng.shuffle(others)
+        chosen = [hosts[number]] if number < len(hosts) else others[:1]
+        if number > 0 and is_doubled:
+            chosen = others[:2]
+        numbers = range(number + 1, number + 1 + len(chosen))
+        answers = await asyncio.gather(
+            *(
+                post(host, told.key, n, data, timeout_ms)
+                for host, n in zip(chosen, numbers, strict=True)
+            )
+        )
+        number += len(chosen)
+        last = chosen[-1]
+        for answer in answers:
+            note_answer(told, answer)
+        if told.completed or told.not_run:
+            break
+        await asyncio.sleep(RESEND_PAUSE_S)
+    return told
+
+
+def note_answer(told: Told, answer: Reply) -> None:
+    """Note what one attempt was told."""
+    if answer is None:
+        told.outcomes.append("no answer")
+        return
+    status, data = answer
+    if status == 200 and data.get("request_id") == told.key:
+        told.completed += 1
+        told.outcomes.append("completed")
+        return
+    outcome = str(data.get("outcome", "none"))
+    told.not_run += outcome == "not_run"
+    told.outcomes.append(outcome)
+
+
+class BookingProof:
+    """Deployment, callers and counts of one run."""
+
+    def __init__(self, directory: Path, rng: random.Random) -> None:
+        self.deployment = Deployment(directory, SETTINGS)
+        self.rng = rng
+        self.session = HttpSession(keep_alive=False)
+        self.told: list[Told] = []
+        self.naive_told: list[Told] = []
+        self.lost_runs: Counter[str] = Counter()
+        self.events: Counter[str] = Counter()
+
+    # Processes.
+
+    async def start(self) -> None:
+        """Start everything and publish the service document."""
+        await self.deployment.start_platform()
+        for name, data_centre in SERVICES:
+            await self.start_service(name, data_centre)
+        for plan in DAEMONS:
+            await self.deployment.start_daemon(plan)
+        await self.deployment.wait_ready()
+        url = self.deployment.daemons[DAEMONS[0].name].url
+        published = await self.session.request(
+            "PUT",
+            f"{url}/v1/operator/documents/{BOOKING_SERVICE}",
+            body=make_booking_document().encode(),
+            headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+            timeout_ms=5_000,
+        )
+        assert published.unwrap().status == 200, published
+        await asyncio.sleep(1.0)
+
+    async def start_service(self, name: str, data_centre: str) -> None:
+        """Start a plain service and add it to the host list."""
+        await self.deployment.start_upstream(
+            UpstreamPlan(name, "service", BOOKING_SERVICE, "v1", data_centre)
+        )
+
+    async def restart_daemon(self, plan: DaemonPlan) -> None:
+        """Start a killed daemon again, as a new process run on new ports."""
+        self.deployment.daemons.pop(plan.name)
+        await self.deployment.start_daemon(plan)
+        await self.deployment.wait_ready([plan.name])
+
+    @property
+    def services(self) -> list[RunningUpstream]:
+        """Services whose processes run."""
+        return [
+            running
+            for running in self.deployment.upstreams.values()
+            if running.process.process.poll() is None
+        ]
+
+    async def set_platform(self, faults: Mapping[str, Any]) -> None:
+        """Replace the platform's faults."""
+        await self.control(f"{self.deployment.platform_url}/standin/faults", faults)
+
+    async def set_services(self, faults: Mapping[str, Any]) -> None:
+        """Replace the faults of every running service."""
+        for running in self.services:
+            await self.control(f"http://{running.address}/standin/faults", faults)
+
+    async def control(self, url: str, data: Mapping[str, Any] | None) -> Any:
+        """Post to a stand-in, or read from it if there is nothing to post."""
+        method = "GET" if data is None else "POST"
+        sent = await self.session.request(method, url, payload=data, timeout_ms=3_000)
+        return sent.unwrap().read_object()
+
+    async def read_runs(self, running: RunningUpstream) -> dict[str, int]:
+        """Return the runs per request id at one service."""
+        runs: dict[str, int] = await self.control(
+            f"http://{running.address}/standin/runs", None
+        )
+        return runs
+
+    async def count_runs(self) -> Counter[str]:
+        """Return the runs per request id, those of exited services included."""
+        runs = Counter(self.lost_runs)
+        for running in self.services:
+            runs.update(await self.read_runs(running))
+        return runs
+
+    # Callers.
+
+    async def post(
+        self, host: int, key: str, number: int, body: bytes, timeout_ms: int
+    ) -> Reply:
+        """Send one attempt to a daemon."""
+        daemon = self.deployment.daemons[DAEMONS[host].name]
+        sent = await self.session.request(
+            "POST",
+            f"{daemon.url}/v1/services/{BOOKING_SERVICE}/routes/{ROUTE}",
+            body=body,
+            headers={
+                "Authorization": f"Bearer {ACCOUNT_KEY}",
+                "Content-Type": "application/json",
+                "Idempotency-Key": key,
+                "Idempotency-Attempt": str(number),
+                "Request-Id": key,
+                "Deadline-Ms": "2500",
+            },
+            timeout_ms=timeout_ms,
+        )
+        if isinstance(sent, Err):
+            return None
+        return sent.ok_value.status, sent.ok_value.read_object() or {}
+
+    async def book_many(
+        self, count: int, hosts: Sequence[int] = (), marker: str = ""
+    ) -> None:
+        """Make bookings at the same time and keep what the callers were told."""
+        body = {"driver": f"driver {marker}"}
+        self.told += await asyncio.gather(
+            *(book(self.post, hosts, body, self.rng) for _ in range(count))
+        )
+
+    # Phases.
+
+    async def run_platform_faults(self) -> None:
+        """Book under each fault of the log; it heals while callers still resend."""
+        for name, faults in PLATFORM_FAULTS.items():
+            await self.set_platform(faults)
+            booking = asyncio.create_task(self.book_many(6))
+            await asyncio.sleep(1.0)
+            await self.set_platform({})
+            await booking
+            self.events[name] += 1
+
+    async def run_service_faults(self) -> None:
+        """Book under each fault of the services."""
+        for name, faults in SERVICE_FAULTS.items():
+            await self.set_services(faults)
+            await self.book_many(6)
+            await self.set_services({})
+            self.events[name] += 1
+
+    async def run_crashes(self) -> None:
+        """Let every service that gets a certain booking exit before or after its run.
+
+        The runs of an exited process can't be read any more: they are read before, and
+        the booking that it exited for is counted by its exit code.
+        """
+        for moment in ("crash_before_run", "crash_after_run"):
+            await asyncio.sleep(CALL_TIMEOUT_MS / 1000)
+            before = self.services
+            known = {
+                running.plan.name: await self.read_runs(running) for running in before
+            }
+            await self.set_services({moment: True, "crash_marker": moment})
+            await self.book_many(1, marker=moment)
+            await asyncio.sleep(0.2)
+            for running in before:
+                if running.process.process.poll() is None:
+                    continue
+                assert running.process.process.returncode == CRASH_EXIT_CODE
+                self.events[moment] += 1
+                self.lost_runs.update(known[running.plan.name])
+                self.lost_runs[self.told[-1].key] += moment == "crash_after_run"
+                name = f"{running.plan.name}-{moment}"
+                await self.start_service(name, running.plan.data_centre)
+            await self.set_services({})
+
+    async def run_kills(self) -> None:
+        """Kill a daemon at several moments of its bookings and start it again."""
+        for delay_s in KILL_DELAYS_S:
+            await self.set_services({"slow_ms": 100})
+            booking = asyncio.create_task(self.book_many(6, hosts=(1,)))
+            await asyncio.sleep(delay_s)
+            self.deployment.daemons[DAEMONS[1].name].process.kill()
+            self.events["daemon killed"] += 1
+            await booking
+            await self.restart_daemon(DAEMONS[1])
+        await self.set_services({})
+
+    async def run_pauses(self) -> None:
+        """Pause a daemon past every timeout while callers resend to other hosts."""
+        for delay_s in PAUSE_DELAYS_S:
+            await self.set_services({"slow_ms": 60})
+            booking = asyncio.create_task(self.book_many(6, hosts=(0, 1, 2)))
+            await asyncio.sleep(delay_s)
+            process = self.deployment.daemons[DAEMONS[0].name].process
+            process.pause()
+            try:
+                await asyncio.sleep(PAUSE_S)
+            finally:
+                process.resume()
+            self.events["daemon paused"] += 1
+            await booking
+        await self.set_services({})
+
+    async def run_naive(self) -> None:
+        """Book under the faults of the services through naive hosts."""
+        hosts = [NaiveHost(self) for _ in DAEMONS]
+
+        async def post(
+            host: int, key: str, _: int, body: bytes, timeout_ms: int
+        ) -> Reply:
+            try:
+                async with asyncio.timeout(timeout_ms / 1000):
+                    return await hosts[host].serve(key, body)
+            except TimeoutError:
+                return None
+
+        for name in NAIVE_FAULTS:
+            await self.set_services(SERVICE_FAULTS[name])
+            self.naive_told += await asyncio.gather(
+                *(book(post, (), {"driver": "naive"}, self.rng) for _ in range(6))
+            )
+        await self.set_services({})
+
+    async def judge(self) -> PromiseResult:
+        """Compare what callers were told with what ran."""
+        await asyncio.sleep(SETTLE_S)
+        runs = await self.count_runs()
+        for told in self.told:
+            self.events[f"ended {told.outcomes[-1]}"] += 1
+            self.events["attempts"] += len(told.outcomes)
+            self.events["runs"] += runs[told.key]
+        naive_runs = [runs[told.key] for told in self.naive_told]
+        naive_false = [
+            told.not_run > 0 and count > 0
+            for told, count in zip(self.naive_told, naive_runs, strict=True)
+        ]
+        return PromiseResult(
+            cases=len(self.told),
+            violations=sum(is_violation(t, runs[t.key]) for t in self.told),
+            naive_violations=sum(count > 1 for count in naive_runs),
+            naive_false_refusals=sum(naive_false),
+            events=dict(self.events),
+        )
+
+
+class NaiveHost:
+    """Entry host without claims: tries one upstream after another."""
+
+    def __init__(self, proof: BookingProof) -> None:
+        self._addresses = [running.address for running in proof.services]
+        self._client = ServiceClient(connect_timeout_ms=200)
+        self._rng = proof.rng
+        self._answers: dict[str, tuple[int, dict[str, Any]]] = {}
+
+    async def serve(self, key: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        """Answer from memory, or send the request until an upstream answers."""
+        if key in self._answers:
+            return self._answers[key]
+        for address in self._rng.sample(self._addresses, 2):
+            call = PlainCall(operation=ROUTE, request_id=key, attempt_id="a", body=body)
+            target = UpstreamAddress(UpstreamId(address), address)
+            match await self._client.call(target, call, CALL_TIMEOUT_MS):
+                case Ok(answer):
+                    self._answers[key] = answer.status, json.loads(answer.body)
+                    return self._answers[key]
+        return 503, {"outcome": "not_run"}
+
+
+def is_violation(told: Told, runs: int) -> bool:
+    """Return whether a booking ran twice or its caller was told something false."""
+    return (
+        runs > 1
+        or (told.not_run > 0 and runs > 0)
+        or (told.completed > 0 and runs != 1)
+    )
+
+
+async def run_in(directory: Path, seed: int) -> PromiseResult:
+    """Run all phases with files in a directory."""
+    proof = BookingProof(directory, random.Random(seed))
+    try:
+        await proof.start()
+        await proof.book_many(10)
+        await proof.run_platform_faults()
+        await proof.run_service_faults()
+        await proof.run_crashes()
+        await proof.run_kills()
+        await proof.run_pauses()
+        await proof.run_naive()
+        return await proof.judge()
+    finally:
+        proof.deployment.stop()
+
+
+def run_booking_proof(seed: int = 1) -> PromiseResult:
+    """Count bookings that ran twice or whose caller was told something false.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the callers' choices; process timing is not reproducible.
+
+    Returns
+    -------
+    PromiseResult
+        Cases are bookings.
+    """
+    with tempfile.TemporaryDirectory(prefix="waxwingbarrow-") as directory:
+        return asyncio.run(run_in(Path(directory), seed))
--- a/libs/bench/src/waxwingbarrow/bench/_deployment.py
+++ b/libs/bench/src/waxwingbarrow/bench/_deployment.py
@@ -11,6 +11,8 @@
 
 import aiosonic
 import attrs
+from aiosonic.connectors import TCPConnector
+from aiosonic.pools import PoolConfig
 
 from waxwingbarrow.bench._processes import (
     ProcessGroup,
@@ -223,7 +225,9 @@
     def client(self) -> aiosonic.HTTPClient:
         """HTTP client for control paths; made inside the running event loop."""
         if self._client is None:
-            self._client = aiosonic.HTTPClient()
+            # A connection for each request: servers close idle ones after 5 s.
+            pools = {":default": PoolConfig(max_conn_requests=0)}
+            self._client = aiosonic.HTTPClient(TCPConnector(pool_configs=pools))
         return self._client
 
     async def post(self, url: str, data: Any) -> Any:
--- a/libs/daemon/src/waxwingbarrow/daemon/_control.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_control.py
@@ -360,7 +360,8 @@
             case Malformed(detail=detail):
                 return Err(InvalidRequest(reason=detail))
             case Ignored(reason=IgnoredReason.RESERVED_OFFSET):
-                return Err(LogUnavailable(reason="The log was empty; publish again."))
+                # The log was empty; its first record never takes effect.
+                return await self.publish(service, text, base_revision, author)
             case Ignored(reason=why):
                 # A repeated or buffered record may be in force, now or later.
                 return Err(OutcomeUnknown(reason=f"The record was ignored: {why}."))
--- a/libs/daemon/tests/test_control.py
+++ b/libs/daemon/tests/test_control.py
@@ -219,3 +219,16 @@
         assert isinstance(refused.err_value, OutcomeUnknown)
 
     run(scenario)
+
+
+def test_publication_to_an_empty_log_takes_effect():
+    # Offset 0 is reserved; a publication that arrived before the first checkpoint
+    # was refused although nothing was wrong with it.
+    async def scenario(rig):
+        plane = rig.start_plane("h1")
+        await wait_until(lambda: plane.reader.last_tail_read is not None)
+        revision = (await plane.publish(SERVICE, make_text(), None, "a")).unwrap()
+        assert revision == 1
+        assert plane.find(SERVICE).revision == 1
+
+    run(scenario)
