--- a/libs/daemon/src/waxwingbarrow/daemon/_answers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_answers.py
@@ -18,7 +18,11 @@
     VersionName,
 )
 from waxwingbarrow.daemon._control import Configuration
-from waxwingbarrow.daemon._dispatch import Attempt, make_address
+from waxwingbarrow.daemon._dispatch import (
+    Attempt,
+    compute_fingerprint,
+    make_address,
+)
 from waxwingbarrow.daemon._events import (
     Failed,
     Finished,
@@ -117,6 +121,7 @@
         self._idle_attempts = 0
         self._last_failure = ""
         self._version: VersionName | None = None
+        self._fingerprint = compute_fingerprint(request)
         self._token = ""
         self._ended = False
 
@@ -133,7 +138,8 @@
 
     async def walk_resumed(self, token: ResumeToken) -> AsyncIterator[GenerationEvent]:
         """Continue a stream on its engine, or elsewhere if the engine lost it."""
-        attempt = self._dispatcher.adopt(self._request, token, self._clock.now())
+        self._restore_request(token)
+        attempt = self._dispatcher.adopt(token, self._clock.now())
         if attempt is not None:
             async for event in self._walk_attempt(attempt, token.stream_id):
                 yield event
@@ -146,6 +152,15 @@
         async for event in self.walk():
             yield event
 
+    def _restore_request(self, token: ResumeToken) -> None:
+        """Take over from the token what the resuming request does not carry."""
+        routes = self._configuration.document.routes
+        route = next((item for item in routes if item.route == token.route), None)
+        if route is not None:
+            self._request = attrs.evolve(self._request, route=route)
+        self._prompt = attrs.evolve(self._prompt, max_tokens=token.max_tokens)
+        self._fingerprint = token.fingerprint
+
     # Choice of upstream.
 
     async def _choose(self) -> Result[Attempt, Refusal]:
@@ -195,6 +210,7 @@
             version,
             self._excluded,
             now,
+            self._fingerprint,
         )
         if isinstance(chosen, Err):
             return Err(chosen.err_value)
@@ -307,7 +323,9 @@
         if progress.stream_id == stream_id and self._token:
             return []
         progress.stream_id = stream_id
-        self._token = self._context.make_token(self._request, attempt, stream_id)
+        self._token = self._context.make_token(
+            self._request, self._prompt, attempt, stream_id
+        )
         return [ResumeOffer(self._token)]
 
     def _deliver(
--- a/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
@@ -135,9 +135,16 @@
         version: VersionName,
         excluded: Collection[UpstreamId],
         now: Instant,
+        fingerprint: str = "",
     ) -> Result[Attempt, NoUpstream | CrashSuspected]:
-        """Choose the upstream of one attempt and note that it starts."""
-        fingerprint = compute_fingerprint(request)
+        """Choose the upstream of one attempt and note that it starts.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the original request; computed from `request` if empty.
+        """
+        fingerprint = fingerprint or compute_fingerprint(request)
         checked = self.crashes.check(fingerprint, now)
         if isinstance(checked, Err):
             return checked
@@ -235,18 +242,15 @@
                 now,
             )
 
-    def adopt(
-        self, request: CallerRequest, token: ResumeToken, now: Instant
-    ) -> Attempt | None:
+    def adopt(self, token: ResumeToken, now: Instant) -> Attempt | None:
         """Return an attempt that another host began; None if its upstream is gone."""
         view = self.fleet.find(token.upstream, now)
         if view is None or view.address != token.address:
             return None
         choice = Choice(view=view, first_token_ms=0.0, matched_tokens=0, candidates=1)
-        fingerprint = compute_fingerprint(request)
         self.fleet.start(view, 0)
-        self.crashes.start(fingerprint, view.upstream, view.incarnation)
-        return Attempt(choice, fingerprint, 0, (), token.version, now)
+        self.crashes.start(token.fingerprint, view.upstream, view.incarnation)
+        return Attempt(choice, token.fingerprint, 0, (), token.version, now)
 
     def note_start(self, attempt: Attempt, cached_tokens: int) -> None:
         """Note that the engine began the answer, and what it found in its cache."""
--- a/libs/daemon/src/waxwingbarrow/daemon/_events.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_events.py
@@ -108,7 +108,11 @@
     stopping: asyncio.Event
 
     def make_token(
-        self, request: CallerRequest, attempt: Attempt, stream_id: str
+        self,
+        request: CallerRequest,
+        prompt: Prompt,
+        attempt: Attempt,
+        stream_id: str,
     ) -> str:
         """Return the token with which the caller can resume a stream."""
         view = attempt.choice.view
@@ -116,6 +120,9 @@
         token = ResumeToken(
             account=request.account,
             service=request.service,
+            route=request.route.route,
+            max_tokens=prompt.max_tokens,
+            fingerprint=attempt.fingerprint,
             upstream=view.upstream,
             address=view.address,
             stream_id=stream_id,
--- a/libs/streams/src/waxwingbarrow/streams/_tokens.py
+++ b/libs/streams/src/waxwingbarrow/streams/_tokens.py
@@ -14,6 +14,7 @@
     Instant,
     RequestId,
     ResumeRejected,
+    RouteName,
     ServiceName,
     UpstreamId,
     VersionName,
@@ -31,12 +32,19 @@
 class ResumeToken:
     """What any entry host needs to continue a stream for its caller.
 
+    The route, length and fingerprint are those of the original request. A resuming
+    caller need not send them again, and cannot change them.
+
     Parameters
     ----------
     account : AccountId
         The only account that may use the token.
     address : str
         Address of the upstream.
+    max_tokens : int
+        Tokens of the whole answer.
+    fingerprint : str
+        Digest by which a request that crashes upstreams is recognized.
     expires_ms : int
         Wall time from which the token is refused, in milliseconds since the Unix
         epoch.
@@ -44,6 +52,9 @@
 
     account: AccountId
     service: ServiceName
+    route: RouteName
+    max_tokens: int
+    fingerprint: str
     upstream: UpstreamId
     address: str
     stream_id: str
--- a/libs/streams/tests/test_tokens.py
+++ b/libs/streams/tests/test_tokens.py
@@ -11,6 +11,7 @@
     Instant,
     Outcome,
     RequestId,
+    RouteName,
     ServiceName,
     UpstreamId,
     VersionName,
@@ -28,6 +29,9 @@
 OLD, NEW = ResumeKey("k1", b"1" * 32), ResumeKey("k2", b"2" * 32)
 TOKEN = ResumeToken(
     account=ACCOUNT,
+    route=RouteName("listing-text"),
+    max_tokens=64,
+    fingerprint="0123abcd",
     service=ServiceName("care"),
     upstream=UpstreamId("u1"),
     address="10.0.0.1:80",
