--- a/libs/bench/src/waxwingbarrow/bench/_overhead.py
+++ b/libs/bench/src/waxwingbarrow/bench/_overhead.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import time
 from collections.abc import Awaitable, Callable
@@ -150,7 +151,7 @@
         ended_s = time.perf_counter()
         if len(arrivals) != tokens:
             raise RuntimeError(f"{len(arrivals)} of {tokens} tokens arrived.")
-        gaps = zip(arrivals, arrivals[1:], strict=False)
+        gaps = itertools.pairwise(arrivals)
         return Timing(
             1000 * (ended_s - started_s),
             1000 * (arrivals[0] - started_s),
