--- a/libs/bench/src/waxwingbarrow/bench/_refusal_proof.py
+++ b/libs/bench/src/waxwingbarrow/bench/_refusal_proof.py
@@ -482,6 +482,82 @@
             if max(upstream.received.values()) > 1:
                 self.violations.append(f"{case.failure}: ran twice")
 
+    def check(self, name: str, is_true: bool, slug: str, outcome: str) -> None:
+        """Count a case that has to be as it is expected."""
+        self.cases += 1
+        self.events[f"refused: {outcome}"] += 1
+        if not is_true:
+            self.violations.append(f"{name}: {slug} {outcome}")
+
+    async def check_other_body(self) -> None:
+        """Send another body under a key that has run."""
+        upstream = ScriptedUpstream(None)
+        async with upstream.listen() as address, self.list_upstream("o1", address):
+            key = str(uuid6.uuid7())
+            await self.post(RefusalCase("", ""), key, "1")
+            other = RefusalCase("", "", body=b"[]")
+            for attempt in ("1", "2"):
+                slug, outcome = await self.post(other, key, attempt)
+                is_true = slug == "key-reused" and outcome == "unknown"
+                self.check("other body", is_true, slug, outcome)
+            if upstream.received[key] != 1:
+                self.violations.append("other body: it ran as well")
+
+    async def check_no_upstream(self) -> None:
+        """Send a booking while every upstream is leaving."""
+        for attempt, expected in (("1", "not_run"), ("2", "unknown")):
+            told = await self.post(RefusalCase("", ""), str(uuid6.uuid7()), attempt)
+            self.check("no upstream", told == ("no-upstream", expected), *told)
+
+    async def check_second_host(self) -> None:
+        """Send to a host that is not ready, and while another host runs the booking."""
+        first_url = self.url
+        await self.set_platform({"cut_callers": ["host-a2"]})
+        peers = self.deployment.daemons.copy()
+        self.deployment.daemons.clear()  # the second host knows no peer
+        daemon = await self.deployment.start_daemon(DaemonPlan("host-a2", "dc-a"))
+        self.deployment.daemons.update(peers)
+        await self.deployment.wait_for(f"{daemon.url}/healthz")
+        self.url = daemon.url
+        plain = RefusalCase("", "")
+        for attempt, expected in (("1", "not_run"), ("2", "unknown")):
+            told = await self.post(plain, str(uuid6.uuid7()), attempt)
+            self.check("not ready", told == ("not-ready", expected), *told)
+        await self.set_platform({})
+        await self.deployment.wait_ready()
+        upstream = ScriptedUpstream(SendingCase("sent", "hanging", end="hang"))
+        async with upstream.listen() as address:
+            self.url = first_url
+            async with self.list_upstream("h1", address):
+                key = str(uuid6.uuid7())
+                running = asyncio.create_task(self.post(plain, key, "1"))
+                await asyncio.sleep(CALL_TIMEOUT_MS / 2000)
+                self.url = daemon.url
+                short = RefusalCase("", "", {"Deadline-Ms": "50"})
+                told = await self.post(short, key, "2")
+                self.check("in progress", told[1] == "in_progress", *told)
+                await running
+                told = await self.post(plain, key, "3")
+                self.check("response lost", told[1] == "unknown", *told)
+        self.url = first_url
+
+    async def check_query(self) -> None:
+        """Ask for a key whose claim is on its way to the log."""
+        upstream = ScriptedUpstream(None)
+        async with upstream.listen() as address, self.list_upstream("q1", address):
+            await self.set_platform({"slow_ms": 300, "operations": ["append"]})
+            key = str(uuid6.uuid7())
+            booking = asyncio.create_task(self.post(RefusalCase("", ""), key, "1"))
+            await asyncio.sleep(0.05)
+            found = await self.deployment.get(
+                f"{self.url}/v1/services/{BOOKING_SERVICE}/keys/{key}", ACCOUNT_KEY
+            )
+            await booking
+            await self.set_platform({})
+            outcome = str(found.get("outcome"))
+            is_true = outcome == "unknown" and upstream.received[key] == 1
+            self.check("query before the claim", is_true, "query", outcome)
+
     def _judge(
         self, case: RefusalCase, attempt: str, slug: str, outcome: str, runs: int
     ) -> None:
@@ -500,6 +576,10 @@
             await proof.check_sending(number, case)
         for refusal in list_refusal_cases():
             await proof.check_refusal(refusal)
+        await proof.check_other_body()
+        await proof.check_no_upstream()
+        await proof.check_query()
+        await proof.check_second_host()
         return proof
     finally:
         proof.deployment.stop()
--- a/libs/daemon/tests/test_bookings.py
+++ b/libs/daemon/tests/test_bookings.py
@@ -88,3 +88,21 @@
         assert third.err_value.outcome is Outcome.UNKNOWN
 
     run(scenario)
+
+
+@pytest.mark.parametrize("key", [None, "no-uuid", "clock"])
+@pytest.mark.parametrize("first_attempt", [True, False])
+def test_refusal_before_the_claim_is_definite_for_a_first_attempt_only(
+    key, first_attempt
+):
+    async def scenario(bookings, platform):
+        is_clock_suspect = key == "clock"
+        sent = str(uuid6.uuid7()) if is_clock_suspect else key
+        refused = await bookings.execute(
+            make_request(sent, first_attempt), refuse_to_connect, is_clock_suspect
+        )
+        expected = Outcome.NOT_RUN if first_attempt else Outcome.UNKNOWN
+        assert refused.err_value.outcome is expected
+        assert platform.get_stream("claims").next_offset == 0
+
+    run(scenario)
