--- a/libs/bench/src/waxwingbarrow/bench/_promises.py
+++ b/libs/bench/src/waxwingbarrow/bench/_promises.py
@@ -46,6 +46,10 @@
 
 PROOFS = (
     Proof("at most once, schedules", "_at_most_once", "run_at_most_once", (10_000, 1)),
+    Proof("at most once, processes", "_booking_proof", "run_booking_proof", (SEED,)),
+    Proof("whole and own answers", "_answer_proof", "run_answer_proof", (SEED,)),
+    Proof("not run is true", "_refusal_proof", "run_refusal_proof"),
+    Proof("configuration", "_configuration_proof", "run_configuration_proof"),
     Proof("leases and fencing", "_lease_proof", "run_leases", (400, SEED)),
     Proof("membership", "_membership_proof", "run_membership", (SEED,)),
 )
