--- a/libs/daemon/src/waxwingbarrow/daemon/_gossip.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_gossip.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 import attrs
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from waxwingbarrow.core import (
     AccountId,
@@ -85,6 +85,9 @@
     items: tuple[CrashReport, ...] = ()
 
 
+Learned = OriginEvidence | Withdrawals | LeavingUpstreams | CrashReports
+
+
 @attrs.frozen
 class GossipListeners:
     """Where learned items go."""
@@ -201,20 +204,18 @@
         return True
 
 
-def _decode(item: GossipItem):  # type: ignore[no-untyped-def]
+def _decode(item: GossipItem) -> Result[Learned | None, FieldInvalid]:
     """Return the typed value of an item; Ok(None) for topics without a listener."""
     if item.topic.startswith(EVIDENCE_TOPIC):
         return decode_evidence(item.payload)
     text = item.payload.decode(errors="replace")
-    match item.topic:
-        case "withdrawals":
-            return decode_withdrawals(item.payload)
-        case "leaving":
-            return read_json(text, LeavingUpstreams, item.topic)
-        case "crashes":
-            return read_json(text, CrashReports, item.topic)
-        case _:
-            return Ok(None)
+    if item.topic == WITHDRAWALS_TOPIC:
+        return decode_withdrawals(item.payload)
+    if item.topic == LEAVING_TOPIC:
+        return read_json(text, LeavingUpstreams, item.topic)
+    if item.topic == CRASHES_TOPIC:
+        return read_json(text, CrashReports, item.topic)
+    return Ok(None)
 
 
 def _warn(item: GossipItem, failure: FieldInvalid) -> None:
