Resume streams in the demo after their host was killed

Cause: the caller lost its resume token when the connection broke, so it sent the whole request again, and streams of 80 ms were seldom open at the kill. Ruled out: a longer run, which would not have shown the lost token.

--- a/libs/bench/src/waxwingbarrow/bench/_client.py
+++ b/libs/bench/src/waxwingbarrow/bench/_client.py
@@ -42,6 +42,8 @@
         Problem document of the last refusal.
     resumes : int
         Number of times that the stream was taken up again.
+    token : str or None
+        Resume token of the stream.
     """
 
     text: str = ""
@@ -49,6 +51,7 @@
     complete: bool = False
     refusal: dict[str, Any] | None = None
     resumes: int = 0
+    token: str | None = None
 
 
 @attrs.define
@@ -121,31 +124,34 @@
     ) -> ModelResult:
         """Send a model request and follow its stream to the end."""
         result = ModelResult()
-        token: str | None = None
         loop = asyncio.get_running_loop()
         give_up = loop.time() + self._deadline_s
         while not result.complete and loop.time() < give_up:
-            if token is None:
+            if result.token is None:
                 path = f"/v1/services/{service}/routes/{route}"
                 body: dict[str, Any] = {"prompt": prompt, "max_tokens": max_tokens}
+                result.text, result.tokens = "", 0
             else:
                 path = "/v1/streams/resume"
                 body = {
-                    "token": token,
+                    "token": result.token,
                     "from_index": result.tokens,
                     "prompt": prompt,
                     "text": result.text,
+                    "max_tokens": max_tokens,
                 }
                 result.resumes += 1
             try:
-                token = await self._follow(path, body, result, token)
+                await self._follow(path, body, result)
             except EXCHANGE_ERRORS:
+                # The host is gone; the token continues the stream on another one.
                 await asyncio.sleep(RETRY_PAUSE_S)
         return result
 
     async def _follow(
-        self, path: str, body: dict[str, Any], result: ModelResult, token: str | None
-    ) -> str | None:
+        self, path: str, body: dict[str, Any], result: ModelResult
+    ) -> None:
+        """Read one connection's part of the stream into `result`."""
         exchange = self._session.stream(
             "POST", self._choose_host() + path, payload=body, headers=self._headers
         )
@@ -153,28 +159,26 @@
             if stream.status != 200:
                 answer = await stream.read_answer()
                 result.refusal = answer.read_object()
+                if stream.status == 403:
+                    # A rejected token is given up and the request sent again.
+                    result.token = None
                 await asyncio.sleep(RETRY_PAUSE_S)
-                # A rejected token is given up and the request sent again.
-                return None if stream.status == 403 else token
-            if token is None:
-                result.text, result.tokens = "", 0
+                return
             async for event in read_events(stream):
-                match event.name:
-                    case "resume" | "handover":
-                        token = event.data["token"]
-                    case "token":
-                        if event.data["index"] != result.tokens:
-                            raise OSError("A token is missing or repeated.")
-                        result.text += event.data["text"]
-                        result.tokens += 1
-                    case "done":
-                        result.complete = event.data["count"] == result.tokens
-                        return token
-                    case "problem":
-                        result.refusal = event.data
-                        await asyncio.sleep(RETRY_PAUSE_S)
-                        return token
-        return token
+                if event.name in ("resume", "handover"):
+                    result.token = event.data["token"]
+                elif event.name == "token":
+                    if event.data["index"] != result.tokens:
+                        raise OSError("A token is missing or repeated.")
+                    result.text += event.data["text"]
+                    result.tokens += 1
+                elif event.name == "done":
+                    result.complete = event.data["count"] == result.tokens
+                    return
+                elif event.name == "problem":
+                    result.refusal = event.data
+                    await asyncio.sleep(RETRY_PAUSE_S)
+                    return
 
     async def book(self, service: str, route: str, body: Any) -> BookingResult:
         """Send a non-repeatable request until its outcome is known."""
--- a/libs/bench/src/waxwingbarrow/bench/_demo.py
+++ b/libs/bench/src/waxwingbarrow/bench/_demo.py
@@ -29,12 +29,14 @@
 SEED = 7
 MODEL_REQUESTS = 60
 BOOKINGS = 60
-MAX_TOKENS = 40
+MAX_TOKENS = 100
+# Slow enough that streams are open when a host or an engine is killed.
+DECODE = ("--decode_tokens_per_s", "100")
 CALLER_DEADLINE_S = 12.0
 UPSTREAMS = (
-    UpstreamPlan("engine-a1", "engine", MODEL_SERVICE, "v1", "dc-a"),
-    UpstreamPlan("engine-a2", "engine", MODEL_SERVICE, "v1", "dc-a"),
-    UpstreamPlan("engine-b1", "engine", MODEL_SERVICE, "v1", "dc-b"),
+    UpstreamPlan("engine-a1", "engine", MODEL_SERVICE, "v1", "dc-a", DECODE),
+    UpstreamPlan("engine-a2", "engine", MODEL_SERVICE, "v1", "dc-a", DECODE),
+    UpstreamPlan("engine-b1", "engine", MODEL_SERVICE, "v1", "dc-b", DECODE),
     UpstreamPlan("rota-a1", "service", BOOKING_SERVICE, "v1", "dc-a"),
     UpstreamPlan("rota-b1", "service", BOOKING_SERVICE, "v1", "dc-b"),
 )
