--- a/libs/bench/tests/test_booking_proofs.py
+++ b/libs/bench/tests/test_booking_proofs.py
@@ -5,8 +5,8 @@
 import pytest
 from result import Err
 
-from waxwingbarrow.bench._booking_proof import Told, is_violation, note_answer
-from waxwingbarrow.bench._refusal_proof import (
+from waxwingbarrow.bench._booking_callers import Told, is_violation, note_answer
+from waxwingbarrow.bench._refusal_cases import (
     LARGE_BODY,
     SENDING_CASES,
     ScriptedUpstream,
