Keep crash suspects apart and refuse them only when the news has spread

The refusal of an answer that caused a loss now waits 0.5 s.

Also: a request that runs beside the cause of two crashes cannot be told from it. Suspects now avoid upstreams that run another suspect while there is a choice.

--- a/libs/daemon/src/waxwingbarrow/daemon/_answers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_answers.py
@@ -9,6 +9,7 @@
 
 from waxwingbarrow import upstreams
 from waxwingbarrow.core import (
+    CrashSuspected,
     Instant,
     NoUpstream,
     Refusal,
@@ -51,6 +52,9 @@
 # Pause before upstreams are tried again after all of them have failed.
 RETRY_PAUSE_S = 0.1
 PROBE_TIMEOUT_MS = 500
+# Urgent gossip reaches the other hosts within this time. A caller that was refused at
+# once could lose a third upstream through a host that did not know of two losses yet.
+CRASH_NEWS_S = 0.5
 
 Source = AsyncIterator[upstreams.EngineEvent | upstreams.UpstreamFailure]
 
@@ -148,6 +152,9 @@
                 if isinstance(chosen, Ok):
                     return chosen
                 refusal = chosen.err_value
+                if isinstance(refusal, CrashSuspected) and self._last_failure:
+                    # The caller may send again through a host without this news.
+                    await asyncio.sleep(CRASH_NEWS_S)
                 if not self._has_started or not isinstance(refusal, NoUpstream):
                     return Err(self._describe_end(refusal))
             is_late = now.mono_ms >= self._request.deadline_mono_ms
--- a/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_dispatch.py
@@ -25,6 +25,7 @@
     Choice,
     CrashSuspects,
     LeavingSource,
+    LostUpstream,
     PrefixIndex,
     ReclaimPolicy,
     ReclaimStep,
@@ -167,9 +168,19 @@
         )
         views = self.fleet.list_views(request.service, now)
         fresh = [view for view in views if view.upstream not in excluded]
+        shared = self.crashes.list_shared(fingerprint, now)
+        apart = [
+            view
+            for view in fresh
+            if LostUpstream(view.upstream, view.incarnation) not in shared
+        ]
         chosen = choose_upstream(
-            wanted, fresh, self.prefixes, self._policy, now, self._rng
+            wanted, apart, self.prefixes, self._policy, now, self._rng
         )
+        if isinstance(chosen, Err) and shared:
+            chosen = choose_upstream(
+                wanted, fresh, self.prefixes, self._policy, now, self._rng
+            )
         if isinstance(chosen, Err):
             return chosen
         attempt = Attempt(
--- a/libs/routing/src/waxwingbarrow/routing/_crashes.py
+++ b/libs/routing/src/waxwingbarrow/routing/_crashes.py
@@ -98,6 +98,25 @@
             cleared = known[0].cleared | others
             self._put(attrs.evolve(known[0], cleared=cleared), now)
 
+    def list_shared(self, fingerprint: str, now: Instant) -> frozenset[LostUpstream]:
+        """Return the processes that a suspect should not share with another suspect.
+
+        A request that runs beside the cause of a crash twice cannot be told from it
+        and would be refused too. Empty if nothing stands against the request.
+        """
+        self._expire(now)
+        if not self._is_suspect(fingerprint):
+            return frozenset()
+        return frozenset(
+            process
+            for process, running in self._running.items()
+            if any(one != fingerprint and self._is_suspect(one) for one in running)
+        )
+
+    def _is_suspect(self, fingerprint: str) -> bool:
+        known = self._known.get(fingerprint)
+        return known is not None and bool(known[0].standing)
+
     def lose_upstream(
         self, upstream: UpstreamId, incarnation: Incarnation, now: Instant
     ) -> tuple[str, ...]:
--- a/libs/routing/tests/test_failures.py
+++ b/libs/routing/tests/test_failures.py
@@ -13,6 +13,7 @@
     HealthRegistry,
     HealthState,
     LeavingSource,
+    LostUpstream,
     RetryBudget,
 )
 
@@ -225,3 +226,17 @@
     run_and_lose(suspects, U2, "bad")
     assert is_refused(suspects, "bad", 999)
     assert not is_refused(suspects, "bad", 1_000)
+
+
+def test_suspects_are_kept_apart():
+    # A bystander of two crashes cannot be told from their cause and is refused too.
+    suspects, run = CrashSuspects(), Incarnation(1, 1)
+    now = Instant(0, 0)
+    for fingerprint in ("cause", "bystander"):
+        suspects.start(fingerprint, "u1", run)
+    suspects.lose_upstream("u1", run, now)
+    suspects.start("cause", "u2", run)
+    suspects.start("other", "u3", run)
+    assert suspects.list_shared("bystander", now) == {LostUpstream("u2", run)}
+    assert suspects.list_shared("cause", now) == frozenset()
+    assert suspects.list_shared("other", now) == frozenset()
