Wake an idle daemon less often

Profile of an idle daemon: 105 wake-ups a second, 20 of them for a queue in which nothing waits and 20 to refresh readiness and gauges. The queue's loop now sleeps until a request waits, and readiness is refreshed every 250 ms.

Three daemons, mean of 8 s windows, old and new at the same time on a shared machine: 2.17, 2.08, 2.04 percent of a core before, 1.96, 1.87, 1.96 after. The dispatch of gossip every 50 ms was left, because withdrawals must take effect at once. The limit of 1.3 percent is still missed.

--- a/libs/daemon/src/waxwingbarrow/daemon/_admission.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_admission.py
@@ -57,6 +57,7 @@
         self._clock = clock
         self._max_running = max_running
         self._services: dict[ServiceName, _Service] = {}
+        self._has_waiting = asyncio.Event()
 
     def update_shares(
         self,
@@ -132,6 +133,7 @@
             asyncio.get_running_loop().create_future()
         )
         entry.waiting[admission.admission_id] = future
+        self._has_waiting.set()
         try:
             return await future
         except asyncio.CancelledError:
@@ -151,10 +153,14 @@
     async def run(self) -> None:
         """Start waiting requests and refuse the hopeless ones until cancelled."""
         while True:
+            # An idle host must not wake up for an empty queue.
+            await self._has_waiting.wait()
             await asyncio.sleep(QUEUE_INTERVAL_S)
             for entry in self._services.values():
                 if entry.waiting:
                     self._advance(entry)
+            if not any(entry.waiting for entry in self._services.values()):
+                self._has_waiting.clear()
 
     def refuse_waiting(self) -> None:
         """Refuse all waiting requests; used when the host stops."""
--- a/libs/daemon/src/waxwingbarrow/daemon/_host.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_host.py
@@ -55,7 +55,7 @@
 
 DISPATCH_INTERVAL_S = 0.05
 SHARES_INTERVAL_S = 1.0
-READINESS_INTERVAL_S = 0.05
+READINESS_INTERVAL_S = 0.25  # a shorter one shows in the idle cost
 # A process run that no member announces counts as ended only after the roster has had
 # time to learn all members.
 ROSTER_SETTLE_MS = 10_000
