--- a/libs/bench/src/waxwingbarrow/bench/_overhead.py
+++ b/libs/bench/src/waxwingbarrow/bench/_overhead.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import itertools
-import json
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -293,7 +292,7 @@
             async def stream(number: int, is_direct: bool, n: int = tokens) -> Timing:
                 return await probe.stream(number, is_direct, n)
 
-            count = max(PARALLEL, min(2 * requests, 16 * requests // tokens))
+            count = max(PARALLEL, min(2 * requests, 48 * requests // tokens))
             costs.append(await _measure_cpu_ms(pid, stream, count, idle_core))
         rounds.append(costs)
     return fit_slope("model stream", "ms per token", TOKEN_COUNTS, rounds)
@@ -360,16 +359,3 @@
     await asyncio.gather(*(work() for _ in range(PARALLEL)))
     used_s = read_cpu_s(pid) - cpu_s - idle_core * (time.monotonic() - started_s)
     return 1000 * used_s / requests
-
-
-def main() -> None:
-    """Print the overhead as JSON."""
-    import tempfile
-
-    with tempfile.TemporaryDirectory(prefix="waxwingbarrow-") as directory:
-        result = asyncio.run(measure_overhead(Path(directory)))
-    print(json.dumps(attrs.asdict(result), indent=1))
-
-
-if __name__ == "__main__":
-    main()
