--- a/libs/bench/src/waxwingbarrow/bench/_client.py
+++ b/libs/bench/src/waxwingbarrow/bench/_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -102,6 +102,8 @@
         Chooses the entry host.
     deadline_s : float
         Time that the caller is willing to spend on one request.
+    headers : Mapping or None
+        Further headers of every request.
     """
 
     def __init__(
@@ -110,11 +112,13 @@
         key: str,
         rng: random.Random,
         deadline_s: float = 30.0,
+        headers: Mapping[str, str] | None = None,
     ) -> None:
         self._hosts = list(hosts)
         self._key = key
         self._rng = rng
         self._deadline_s = deadline_s
+        self._extra_headers = dict(headers or {})
         # A connection for each request: one that a killed host leaves half open must
         # not be used for the next request.
         self._session = HttpSession(keep_alive=False)
@@ -214,7 +218,7 @@
 
     @property
     def _headers(self) -> dict[str, str]:
-        return {"Authorization": f"Bearer {self._key}"}
+        return {"Authorization": f"Bearer {self._key}", **self._extra_headers}
 
     def _choose_host(self) -> str:
         return self._rng.choice(self._hosts)
--- a/libs/bench/src/waxwingbarrow/bench/_promises.py
+++ b/libs/bench/src/waxwingbarrow/bench/_promises.py
@@ -50,6 +50,11 @@
     Proof("whole and own answers", "_answer_proof", "run_answer_proof", (SEED,)),
     Proof("not run is true", "_refusal_proof", "run_refusal_proof"),
     Proof("configuration", "_configuration_proof", "run_configuration_proof"),
+    Proof(
+        "shutdown, reclaim, leaving", "_shutdown_proof", "run_shutdown_proof", (SEED,)
+    ),
+    Proof("bad and good versions", "_version_proof", "run_version_proof", (SEED,)),
+    Proof("crashing requests", "_crash_proof", "run_crash_proof", (SEED,)),
     Proof("leases and fencing", "_lease_proof", "run_leases", (400, SEED)),
     Proof("membership", "_membership_proof", "run_membership", (SEED,)),
 )
--- a/libs/bench/src/waxwingbarrow/bench/_scenario.py
+++ b/libs/bench/src/waxwingbarrow/bench/_scenario.py
@@ -11,10 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-import aiosonic
 import attrs
 
-from waxwingbarrow.bench._client import Caller, ModelResult, read_events
+from waxwingbarrow.bench._client import Caller
 from waxwingbarrow.bench._deployment import (
     ACCOUNT_KEY,
     OPERATOR_KEY,
@@ -23,7 +22,6 @@
     RunningUpstream,
     UpstreamPlan,
 )
-from waxwingbarrow.platform import EXCHANGE_ERRORS, HttpSession
 
 RETRY_PAUSE_S = 0.1
 CALLER_DEADLINE_S = 20.0
@@ -64,66 +62,6 @@
             self.events[f"naive violated: {name}"] += 1
 
 
-class ResumingCaller(Caller):
-    """Caller that keeps its resume token when a connection breaks.
-
-    It sends only the token, the prompt and what it has, as a caller may.
-    """
-
-    async def _follow(
-        self, path: str, body: dict[str, Any], result: ModelResult, token: str | None
-    ) -> str | None:
-        kept = token
-        session = HttpSession(keep_alive=False)
-        url = self._choose_host() + path
-        # The admission estimate counts a prompt token like a generated one, so a long
-        # prompt is refused with the route's own deadline.
-        headers = {**self._headers, "Deadline-Ms": "600000"}
-        try:
-            async with (
-                asyncio.timeout(self._deadline_s),
-                session.stream("POST", url, payload=body, headers=headers) as stream,
-            ):
-                if stream.status != 200:
-                    result.refusal = (await stream.read_answer()).read_object()
-                    await asyncio.sleep(RETRY_PAUSE_S)
-                    return kept
-                if token is None:
-                    result.text, result.tokens = "", 0
-                async for event in read_events(stream):
-                    match event.name:
-                        case "resume" | "handover":
-                            kept = event.data["token"]
-                        case "token" if event.data["index"] == result.tokens:
-                            result.text += event.data["text"]
-                            result.tokens += 1
-                        case "done":
-                            result.complete = event.data["count"] == result.tokens
-                            return kept
-                        case "problem":
-                            result.refusal = event.data
-                            await asyncio.sleep(RETRY_PAUSE_S)
-                            return kept
-                        case other:
-                            raise AssertionError(f"Unexpected event {other}.")
-        except EXCHANGE_ERRORS:
-            await asyncio.sleep(RETRY_PAUSE_S)
-        return kept
-
-
-class ControlledDeployment(Deployment):
-    """Deployment whose control requests each use a connection of their own.
-
-    The stand-ins close a connection that is idle for 5 s, and a request may be sent
-    at that moment.
-    """
-
-    @property
-    def client(self) -> aiosonic.HTTPClient:
-        """HTTP client without kept connections."""
-        return aiosonic.HTTPClient()
-
-
 class Scenario:
     """Operations on a running deployment that proofs share."""
 
@@ -137,11 +75,9 @@
 
     def make_caller(
         self, seed: int, urls: Sequence[str] | None = None, key: str = ACCOUNT_KEY
-    ) -> ResumingCaller:
+    ) -> Caller:
         """Return a caller that uses the given hosts, all by default."""
-        return ResumingCaller(
-            urls or self.urls, key, random.Random(seed), CALLER_DEADLINE_S
-        )
+        return Caller(urls or self.urls, key, random.Random(seed), CALLER_DEADLINE_S)
 
     async def set_faults(self, name: str, **faults: Any) -> None:
         """Replace the faults of one upstream."""
@@ -239,7 +175,7 @@
     """Start a deployment with published documents; stop it at the end."""
     with tempfile.TemporaryDirectory(prefix="waxwingbarrow-") as directory:
         settings = {**FAST_SETTINGS, **(overrides or {})}
-        deployment = ControlledDeployment(Path(directory), settings)
+        deployment = Deployment(Path(directory), settings)
         scenario = Scenario(deployment)
         try:
             await deployment.start_platform()
--- a/libs/daemon/src/waxwingbarrow/daemon/_callers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_callers.py
@@ -233,14 +233,18 @@
             return self._refuse(request, read.err_value, caller)
         body: PromptBody = read.ok_value
         max_tokens = min(body.max_tokens, caller.route.max_output_tokens)
-        tokens = len(body.prompt) // CHARS_PER_TOKEN + max_tokens
+        prompt_tokens = len(body.prompt) // CHARS_PER_TOKEN
+        tokens = prompt_tokens + max_tokens
         admitted = await self._context.admissions.admit(caller, tokens)
         if isinstance(admitted, Err):
             return self._refuse(request, admitted.err_value, caller)
         admission = admitted.ok_value
 
-        def release(tokens_used: int) -> None:
-            self._context.admissions.finish(caller.service, admission, tokens_used)
+        def release(generated_tokens: int) -> None:
+            # Counted like the estimate; otherwise the measured pace is that of
+            # generated tokens alone and long prompts are refused as hopeless.
+            used = prompt_tokens + generated_tokens if generated_tokens else 0
+            self._context.admissions.finish(caller.service, admission, used)
 
         prompt = Prompt(text=body.prompt, max_tokens=max_tokens)
         answer = Answer(self._context.generation, configuration, caller, prompt)
