--- a/libs/bench/src/waxwingbarrow/bench/_processes.py
+++ b/libs/bench/src/waxwingbarrow/bench/_processes.py
@@ -1,5 +1,6 @@
 """Processes that a measurement starts, watches and stops."""
 
+import itertools
 import os
 import signal
 import socket
@@ -13,11 +14,32 @@
 STOP_TIMEOUT_S = 40.0
 
 
+# Below the range from which the system takes the ports of outgoing connections; a port
+# from that range can be taken between its choice and the start of the process.
+FIRST_PORT = 20_000
+PORTS_PER_PROCESS = 250
+PORT_RANGES = 48
+
+_offsets = itertools.count()
+
+
 def find_free_port() -> int:
-    """Return a loopback port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a loopback port that is free at the moment.
+
+    Each process looks in a range of its own, because two measurements that run at the
+    same time would otherwise choose the same port.
+    """
+    base = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_PER_PROCESS
+    for _ in range(PORTS_PER_PROCESS):
+        port = base + next(_offsets) % PORTS_PER_PROCESS
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise OSError("No loopback port is free.")
 
 
 @attrs.define
--- a/libs/daemon/src/waxwingbarrow/daemon/_admission.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_admission.py
@@ -31,6 +31,8 @@
 )
 
 FIRST_TOKENS_PER_S = 50_000.0  # replaced by the measured pace after a few requests
+# Engines process a prompt at 50 times or more the rate of one stream's output.
+PROMPT_RUN_WEIGHT = 0.02
 QUEUE_INTERVAL_S = 0.05
 
 
@@ -113,7 +115,7 @@
         )
 
     async def admit(
-        self, request: CallerRequest, tokens: int
+        self, request: CallerRequest, output_tokens: int, prompt_tokens: int = 0
     ) -> Result[Admission, Refusal]:
         """Wait until the request may run, or refuse it as not run."""
         entry = self._open(request.service)
@@ -122,8 +124,9 @@
         wanted = AdmissionRequest(
             account=request.account,
             priority_class=request.priority_class,
-            tokens=tokens,
+            tokens=prompt_tokens + output_tokens,
             deadline=deadline,
+            run_tokens=int(prompt_tokens * PROMPT_RUN_WEIGHT) + output_tokens,
         )
         admitted = entry.controller.admit(wanted, now)
         if isinstance(admitted, Err) or admitted.ok_value.ready:
--- a/libs/daemon/src/waxwingbarrow/daemon/_callers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_callers.py
@@ -234,8 +234,9 @@
         body: PromptBody = read.ok_value
         max_tokens = min(body.max_tokens, caller.route.max_output_tokens)
         prompt_tokens = len(body.prompt) // CHARS_PER_TOKEN
-        tokens = prompt_tokens + max_tokens
-        admitted = await self._context.admissions.admit(caller, tokens)
+        admitted = await self._context.admissions.admit(
+            caller, max_tokens, prompt_tokens
+        )
         if isinstance(admitted, Err):
             return self._refuse(request, admitted.err_value, caller)
         admission = admitted.ok_value
--- a/libs/limits/src/waxwingbarrow/limits/_admission.py
+++ b/libs/limits/src/waxwingbarrow/limits/_admission.py
@@ -52,16 +52,21 @@
     Parameters
     ----------
     tokens : int
-        Expected cost: prompt tokens and the most output tokens; 1 for a request to a
-        plain service.
+        Prompt tokens and the most output tokens, as limits count them; 1 for a request
+        to a plain service.
     deadline : Instant
         Time at which the answer is no longer of use.
+    run_tokens : int
+        Tokens that determine the time to run. Prompt tokens are processed together and
+        so count for little; if they counted like output tokens, a long prompt would be
+        refused as hopeless.
     """
 
     account: AccountId
     priority_class: PriorityClass
     tokens: int
     deadline: Instant
+    run_tokens: int = attrs.Factory(lambda self: self.tokens, takes_self=True)
 
 
 @attrs.frozen(kw_only=True)
@@ -247,7 +252,9 @@
             if account is not None:
                 account.tokens.settle(difference, now)
             if tokens_used > 0:
-                pace_ms = (now.mono_ms - started.mono_ms) / tokens_used
+                request = admission.request
+                run_tokens = tokens_used * request.run_tokens / max(request.tokens, 1)
+                pace_ms = (now.mono_ms - started.mono_ms) / run_tokens
                 self._token_ms += PACE_WEIGHT * (pace_ms - self._token_ms)
         elif self._queue.remove(admission.admission_id):
             del self._waiting[admission.admission_id]
@@ -266,17 +273,17 @@
 
     def estimate(self, request: AdmissionRequest, now: Instant) -> Estimate:
         """Return how long a request would wait and run if it were admitted now."""
-        run_ms = request.tokens * self._token_ms
+        run_ms = request.run_tokens * self._token_ms
         free = self._max_running - len(self._running)
         if free > 0 and not self._waiting:
             return Estimate(0.0, run_ms)
         ahead = self._queue.count_tokens_ahead(
-            request.account, request.priority_class, request.tokens
+            request.account, request.priority_class, request.run_tokens
         )
         if self._max_running < 1:
             return Estimate(float("inf"), run_ms)
         # With all places taken, one becomes free after a mean run divided by them.
-        ahead_ms = (ahead + request.tokens) * self._token_ms / self._max_running
+        ahead_ms = (ahead + request.run_tokens) * self._token_ms / self._max_running
         return Estimate(ahead_ms, run_ms)
 
     def _measure(self, request: AdmissionRequest, now: Instant) -> None:
@@ -313,7 +320,7 @@
         """
         if self._waiting or len(self._running) >= self._max_running * PROBE_SHARE:
             return False
-        first_estimate = Estimate(0.0, request.tokens * self._first_token_ms)
+        first_estimate = Estimate(0.0, request.run_tokens * self._first_token_ms)
         return check_deadline(first_estimate, request, now).is_ok()
 
     def _place(
@@ -332,7 +339,7 @@
             item_id=admission_id,
             account=request.account,
             priority_class=request.priority_class,
-            tokens=request.tokens,
+            tokens=request.run_tokens,
             start_by=request.deadline.plus_ms(-int(estimate.run_ms)),
         )
         pushed = self._queue.push(item, now)
--- a/libs/limits/tests/test_admission.py
+++ b/libs/limits/tests/test_admission.py
@@ -186,3 +186,21 @@
     assert result.is_ok() is accepted
     if isinstance(result, Err):
         assert (result.err_value.retry_after_s is not None) is retry
+
+
+def test_long_prompt_is_not_refused_for_the_time_of_output_tokens():
+    controller = make_controller()
+    prompt = AdmissionRequest(
+        account=ONE,
+        priority_class=STANDARD,
+        tokens=9_000,
+        deadline=at(1_000),
+        run_tokens=200,
+    )
+    assert isinstance(
+        controller.admit(make_request(tokens=9_000, deadline_ms=1_000), at(0)), Err
+    )
+    admission = controller.admit(prompt, at(0)).ok_value
+    # It ran at the pace of 1 ms per token that is assumed, so the pace stays.
+    controller.finish(admission, 9_000, at(200))
+    assert controller.estimate(make_request(), at(200)).run_ms == pytest.approx(100)
