Record verdicts without holding up other withdrawals

Cause: the rollout loop waited for the append of each verdict, up to 5 s while the log is out, and judged the next service only then. Found by reading. Ruled out: a shorter append time-out, which makes more appends unsettled. Before: the new test fails, the second service's withdrawal is not spread. After: it passes; one record is in flight for each service. Conclusion: withdrawals spread while the log does not answer.

--- a/libs/daemon/src/waxwingbarrow/daemon/_coordination.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_coordination.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from waxwingbarrow.core import Clock, HostId, Incarnation, Instant
+from waxwingbarrow.core import Clock, HostId, Incarnation, Instant, ServiceName
 from waxwingbarrow.daemon._admission import Admissions
 from waxwingbarrow.daemon._control import Configuration, ControlPlane
 from waxwingbarrow.daemon._fleet import Fleet
@@ -22,6 +22,7 @@
 from waxwingbarrow.peers import PeerNode
 from waxwingbarrow.rollout import Withdrawals
 from waxwingbarrow.routing import CrashSuspects, CrashSuspicion
+from waxwingbarrow.state import VerdictBody
 
 DISPATCH_INTERVAL_S = 0.05
 SHARES_INTERVAL_S = 1.0
@@ -54,6 +55,7 @@
     def __init__(self, context: CoordinationContext) -> None:
         self._context = context
         self._gossip_cursor = 0
+        self._verdicts: dict[ServiceName, asyncio.Task[None]] = {}
 
     def list_work(self) -> dict[str, Coroutine[Any, Any, None]]:
         """Return the background work, by name."""
@@ -97,29 +99,42 @@
 
     async def _run_rollouts(self) -> None:
         """Judge rollouts, spread evidence, and record verdicts where it is the duty."""
+        context = self._context
         evidence_due_ms = 0
-        while True:
-            await asyncio.sleep(self._context.settings.rollout_interval_ms / 1000)
-            now = self._context.clock.now()
-            if now.mono_ms >= evidence_due_ms:
-                evidence_due_ms = (
-                    now.mono_ms + self._context.settings.evidence_interval_ms
-                )
-                for evidence in self._context.rollouts.list_own_evidence():
-                    self._context.gossip.put_evidence(evidence, now)
-            for configuration in tuple(self._context.control.configurations.values()):
-                await self._judge(configuration, now)
-
-    async def _judge(self, configuration: Configuration, now: Instant) -> None:
-        agreed = self._context.control.find_agreed(configuration)
-        before = self._context.rollouts.withdrawals
-        due = self._context.rollouts.evaluate(configuration, agreed, now)
-        if self._context.rollouts.withdrawals != before:
-            self._context.gossip.put_withdrawals(
-                self._context.rollouts.withdrawals, now
-            )
+        try:
+            while True:
+                await asyncio.sleep(context.settings.rollout_interval_ms / 1000)
+                now = context.clock.now()
+                if now.mono_ms >= evidence_due_ms:
+                    interval_ms = context.settings.evidence_interval_ms
+                    evidence_due_ms = now.mono_ms + interval_ms
+                    for evidence in context.rollouts.list_own_evidence():
+                        context.gossip.put_evidence(evidence, now)
+                for configuration in tuple(context.control.configurations.values()):
+                    self._judge(configuration, now)
+        finally:
+            for task in self._verdicts.values():
+                task.cancel()
+
+    def _judge(self, configuration: Configuration, now: Instant) -> None:
+        context = self._context
+        agreed = context.control.find_agreed(configuration)
+        before = context.rollouts.withdrawals
+        due = context.rollouts.evaluate(configuration, agreed, now)
+        if context.rollouts.withdrawals != before:
+            context.gossip.put_withdrawals(context.rollouts.withdrawals, now)
         if due is not None and self._has_duty(f"verdict/{due.service}", now):
-            await self._context.control.agree_verdict(due)
+            self._start_recording(due)
+
+    def _start_recording(self, due: VerdictBody) -> None:
+        """Record a verdict without waiting: the log may be out for a long time.
+
+        Waiting here would delay the withdrawals of other services.
+        """
+        known = self._verdicts.get(due.service)
+        if known is None or known.done():
+            work = self._context.control.agree_verdict(due)
+            self._verdicts[due.service] = asyncio.create_task(work)
 
     async def _run_shares(self) -> None:
         """Gossip demand and recompute this host's shares of the accounts' limits."""
