--- a/libs/bench/src/waxwingbarrow/bench/_bench.py
+++ b/libs/bench/src/waxwingbarrow/bench/_bench.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from waxwingbarrow.bench import _limits, _rollouts, _routing
+from waxwingbarrow.bench import _capacity, _limits, _rollouts, _routing
 from waxwingbarrow.bench._at_most_once import run_at_most_once
 from waxwingbarrow.bench._fleetslopes import FleetCost, measure_fleet
 from waxwingbarrow.bench._gossip import measure_simulation
@@ -69,6 +69,7 @@
         *_time(seconds, "routing", _routing.compare_routing),
         *_time(seconds, "limits", compare_limits),
         *_time(seconds, "rollouts", compare_rollouts),
+        *_time(seconds, "capacity", _capacity.compare_capacity),
         *_time(seconds, "at most once", compare_claims),
         *_time(seconds, "gossip", compare_gossip),
         *compare_overhead(overhead),
@@ -78,6 +79,7 @@
         "routing": _routing.SEED,
         "limits": _limits.SEED,
         "rollouts": _rollouts.SEED,
+        "capacity": _capacity.SEED,
         "at most once": AT_MOST_ONCE_SEED,
         "gossip": 1,
     }
