--- a/libs/daemon/src/waxwingbarrow/daemon/_coordination.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_coordination.py
@@ -24,7 +24,7 @@
 from waxwingbarrow.routing import CrashSuspects, CrashSuspicion
 from waxwingbarrow.state import VerdictBody
 
-DISPATCH_INTERVAL_S = 0.05
+DISPATCH_INTERVAL_S = 0.1
 SHARES_INTERVAL_S = 1.0
 # A process run that no member announces counts as ended only after the roster has had
 # time to learn all members.
--- a/libs/daemon/src/waxwingbarrow/daemon/_settings.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_settings.py
@@ -32,7 +32,7 @@
     "gossip_interval_ms": 1_000,
     "gossip_fanout": 3,
     "host_list_interval_ms": 1_000,
-    "load_interval_ms": 1_000,
+    "load_interval_ms": 2_000,
     "rollout_interval_ms": 500,
     "evidence_interval_ms": 5_000,
     "checkpoint_interval_ms": 30_000,
