--- a/libs/daemon/src/waxwingbarrow/daemon/_bookings.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_bookings.py
@@ -44,6 +44,12 @@
 )
 from waxwingbarrow.daemon._logs import get_logger
 from waxwingbarrow.daemon._requests import CallerRequest
+from waxwingbarrow.daemon._sending import (
+    Completed,
+    NeverSent,
+    ResponseLost,
+    Send,
+)
 from waxwingbarrow.platform import (
     LogAppender,
     LogClient,
@@ -61,31 +67,6 @@
 logger = get_logger("claims")
 
 
-@attrs.frozen
-class Completed:
-    """The upstream answered."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-
-@attrs.frozen
-class NeverSent:
-    """All attempts certainly failed before the first byte."""
-
-    refusal: Refusal
-
-
-@attrs.frozen
-class ResponseLost:
-    """The request may have run, and its response is lost."""
-
-    reason: str
-
-
-SendResult = Completed | NeverSent | ResponseLost
-Send = Callable[[], Awaitable[SendResult]]
 Response = Result[Answer, Refusal]
 
 
--- a/libs/daemon/src/waxwingbarrow/daemon/_calls.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_calls.py
@@ -15,15 +15,15 @@
     UpstreamFailed,
     UpstreamId,
 )
-from waxwingbarrow.daemon._bookings import (
+from waxwingbarrow.daemon._control import Configuration
+from waxwingbarrow.daemon._dispatch import Attempt, Dispatcher, make_address
+from waxwingbarrow.daemon._requests import CallerRequest
+from waxwingbarrow.daemon._sending import (
     Completed,
     NeverSent,
     ResponseLost,
     SendResult,
 )
-from waxwingbarrow.daemon._control import Configuration
-from waxwingbarrow.daemon._dispatch import Attempt, Dispatcher, make_address
-from waxwingbarrow.daemon._requests import CallerRequest
 from waxwingbarrow.rollout import ResponseQuality
 from waxwingbarrow.upstreams import (
     NotSent,
--- a/libs/daemon/src/waxwingbarrow/daemon/_observers.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_observers.py
@@ -31,7 +31,9 @@
 from waxwingbarrow.routing import LeavingSource, UpstreamView
 from waxwingbarrow.upstreams import EngineClient
 
-NOTICE_INTERVAL_S = 1.0  # notices leave only seconds; a shorter one shows in the idle cost
+NOTICE_INTERVAL_S = (
+    1.0  # notices leave only seconds; a shorter one shows in the idle cost
+)
 LOAD_CHECK_INTERVAL_S = 0.5
 MAX_EARLY_NOTICES = 4_096  # bounds what is kept for hosts that are never listed
 MAX_LOAD_READS = 16  # at the same time, so that many idle upstreams cause no burst
--- a/libs/daemon/src/waxwingbarrow/daemon/_plain.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_plain.py
@@ -5,10 +5,10 @@
 from starlette.responses import JSONResponse, Response
 
 from waxwingbarrow.claims import Answer
-from waxwingbarrow.daemon._bookings import Completed, SendResult
 from waxwingbarrow.daemon._control import Configuration
 from waxwingbarrow.daemon._problems import make_problem_response
 from waxwingbarrow.daemon._requests import CallerRequest, check_json
+from waxwingbarrow.daemon._sending import Completed, SendResult
 from waxwingbarrow.daemon._serving import CallerContext, Meter
 
 
--- a/libs/daemon/tests/test_bookings.py
+++ b/libs/daemon/tests/test_bookings.py
@@ -14,8 +14,9 @@
     PriorityClass,
     SystemClock,
 )
-from waxwingbarrow.daemon._bookings import Bookings, NeverSent
+from waxwingbarrow.daemon._bookings import Bookings
 from waxwingbarrow.daemon._requests import CallerRequest
+from waxwingbarrow.daemon._sending import NeverSent
 from waxwingbarrow.document import Route
 from waxwingbarrow.platform import HttpLogClient, HttpSession
 from waxwingbarrow.standins import PlatformFaults, PlatformStandin, serve
