Model hosts in the routing comparison like the daemon counts queued prompts

Cause: the comparison of upstream choices counted a prompt that a host had sent as queued until the next load report, up to 500 ms. The daemon counts it until its first token, as the field's documentation says (own_queued_tokens). In the comparison hosts therefore avoided engines that were idle again.

--- a/libs/bench/src/waxwingbarrow/bench/_routing.py
+++ b/libs/bench/src/waxwingbarrow/bench/_routing.py
@@ -1,6 +1,7 @@
 """Comparison of the choice of upstream with simple baselines."""
 
 import functools
+import heapq
 import random
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -174,6 +175,8 @@
     events: deque[tuple[float, CacheEvent]] = deque()
     # Responses return cached-token counts to the host that sent the request.
     answers: deque[tuple[float, _Host, int, Job, int, int]] = deque()
+    # Like the daemon, a host counts the prompts that it sent until their first token.
+    started: list[tuple[float, int, int, int]] = []
     sequences = [0] * ENGINES
     results = []
     for job in jobs:
@@ -186,7 +189,11 @@
         while answers and answers[0][0] <= job.at_ms:
             _, host, chosen, past, expected, cached = answers.popleft()
             host.index.correct(_name(chosen), past.blocks, expected, cached)
-        host = rng.choice(hosts)
+        while started and started[0][0] <= job.at_ms:
+            _, number, chosen, tokens = heapq.heappop(started)
+            _finish_prompt(hosts[number], chosen, tokens)
+        host_number = rng.randrange(len(hosts))
+        host = hosts[host_number]
         views = _make_views(host, engines, job.at_ms)
         chosen = strategy(job, host, views, job.at_ms)
         name = _name(chosen)
@@ -204,6 +211,8 @@
             in_flight=report.in_flight + 1,
             own_queued_tokens=report.own_queued_tokens + missed,
         )
+        first_token_at_ms = job.at_ms + served.first_token_ms
+        heapq.heappush(started, (first_token_at_ms, host_number, chosen, missed))
         answers.append(
             (job.at_ms + 500, host, chosen, job, expected, served.cached_tokens)
         )
@@ -224,6 +233,12 @@
     return _measure(results)
 
 
+def _finish_prompt(host: _Host, engine: int, tokens: int) -> None:
+    report = host.reports[engine]
+    left = max(report.own_queued_tokens - tokens, 0)
+    host.reports[engine] = attrs.evolve(report, own_queued_tokens=left)
+
+
 def choose_ours(
     job: Job, host: _Host, views: Sequence[UpstreamView], at_ms: float
 ) -> int:
