Let the holder of the duties grant quota in large deployments

Changed: where hosts use relays, they ask the holder of the duties for each request of an account with a limit; it counts exactly. A host that gets no answer in 80 ms decides by its share and tells later what it admitted. A grant that comes too late, or whose caller has left, is given back. Small deployments decide as before.

Ruled out: admission by the sums with a longer or shorter delay. A flood of four times a limit is not told from a few large requests at one host within the delay: each host sees one request of 12,000 tokens in 6 s instead of 45 s.

--- a/libs/gateway/src/waxwingbarrow/gateway/_beats.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_beats.py
@@ -97,10 +97,47 @@
     withdrawn: list[tuple[str, int]]
 
 
-Message = Beat | Digest
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
+    """Request for quota, to the host that decides for all.
+
+    Parameters
+    ----------
+    number : int
+        Identifies the request at the sender.
+    cost : float
+        What the account is to be charged.
+    """
+
+    format: int
+    number: int
+    account: str
+    cost: float
+
+
+class Grant(msgspec.Struct, array_like=True, frozen=True, tag="grant"):
+    """Answer to an `Ask`.
+
+    Parameters
+    ----------
+    is_keeper : bool
+        Whether the sender decides for all; otherwise nothing was charged.
+    retry_after_s : float or None
+        When the quota will suffice, if it does not.
+    """
+
+    format: int
+    number: int
+    is_keeper: bool
+    admitted: bool
+    retry_after_s: float | None = None
+
+
+Message = Beat | Digest | Ask | Grant
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Beat | Digest)
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
+    Beat | Digest | Ask | Grant
+)
 
 
 def encode_message(message: Message) -> bytes:
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -23,6 +23,7 @@
 from waxwingbarrow.gateway._channels import BrokenError
 from waxwingbarrow.gateway._events import EventSplitter
 from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
+from waxwingbarrow.gateway._grants import Grants
 from waxwingbarrow.gateway._measures import Measures
 from waxwingbarrow.gateway._model import (
     AnswerHead,
@@ -33,7 +34,6 @@
 from waxwingbarrow.gateway._planner import RETRY_AFTER_BUSY_S, Planner
 from waxwingbarrow.gateway._plans import Plan, Refused
 from waxwingbarrow.gateway._ports import Codec
-from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._rollouts import Rollouts
 from waxwingbarrow.gateway._suspects import Suspects
 from waxwingbarrow.gateway._usage import UsageBook
@@ -55,7 +55,7 @@
         codec: Codec,
         clock: Clock,
         fleet: Fleet,
-        quotas: Quotas,
+        grants: Grants,
         rollouts: Rollouts,
         usage: UsageBook,
         suspects: Suspects,
@@ -66,7 +66,7 @@
         self._codec = codec
         self._clock = clock
         self._fleet = fleet
-        self._quotas = quotas
+        self._grants = grants
         self._rollouts = rollouts
         self._usage = usage
         self._suspects = suspects
@@ -80,6 +80,10 @@
         if isinstance(planned, Refused):
             self._refuse(call, planned, responder, None)
             return
+        refused = await self._planner.admit(planned, now)
+        if refused is not None:
+            self._refuse(call, refused, responder, None)
+            return
         outcome = "left by the caller"
         try:
             if planned.route.kind is RouteKind.STREAM:
@@ -88,7 +92,9 @@
                 outcome = await self._serve_plain(planned, responder)
         finally:
             if not planned.began:
-                self._quotas.give_back(planned.account, planned.cost, self._clock.now())
+                self._grants.give_back(
+                    planned.account, planned.cost, planned.charge, self._clock.now()
+                )
             self._log(planned, outcome)
 
     # Requests with one answer
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -30,6 +30,7 @@
 from waxwingbarrow.gateway._fetches import ReplicaFetcher
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._follower import Follower, StoreWatch
+from waxwingbarrow.gateway._grants import Grants, Keeper
 from waxwingbarrow.gateway._knowledge import Knowledge
 from waxwingbarrow.gateway._logs import BoundedHandler
 from waxwingbarrow.gateway._measures import Measures
@@ -121,10 +122,19 @@
         self._budgets = Budgets(bounds)
         self._work = WorkBook()
         self._watch = StoreWatch(clock)
+        self._keeper = Keeper(self._quotas)
+        self._grants = Grants(
+            self._quotas,
+            self._keeper,
+            clock,
+            lambda now: self._link.find_keeper(now),
+            lambda ask, address: self._link.send_message(ask, address),
+        )
         self._planner = Planner(
             codec,
             self._fleet,
             self._quotas,
+            self._grants,
             self._rollouts,
             self._suspects,
             self._work,
@@ -149,7 +159,7 @@
             codec,
             clock,
             self._fleet,
-            self._quotas,
+            self._grants,
             self._rollouts,
             self._usage,
             self._suspects,
@@ -199,6 +209,7 @@
             self._members,
             self._fleet,
             self._fetcher,
+            self._grants,
             split_address(settings.control_address)[1],
             clock,
             self._rng,
@@ -411,6 +422,8 @@
 
     def _note_token(self, token: int) -> None:
         self._book.held_token = token
+        if not token:
+            self._keeper.rest()
 
     def _list_services(self) -> list[Service]:
         table = self._planner.table
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -12,8 +12,10 @@
 
 from waxwingbarrow.core import Clock, DataCentre, HostId, Instant
 from waxwingbarrow.gateway._beats import (
+    Ask,
     Beat,
     Digest,
+    Grant,
     Message,
     decode_message,
     encode_message,
@@ -22,9 +24,11 @@
 from waxwingbarrow.gateway._fetches import ReplicaFetcher
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._fragments import Joiner, Splitter
+from waxwingbarrow.gateway._grants import Grants
 from waxwingbarrow.gateway._members import COUNTED_MS, Member, Members
 from waxwingbarrow.gateway._ports import Topic, Unreadable
 from waxwingbarrow.gateway._relays import (
+    DIGEST_FRESH_MS,
     MESH_HOSTS,
     RELAY_SILENT_MS,
     RelayBook,
@@ -68,6 +72,7 @@
         members: Members,
         fleet: Fleet,
         fetcher: ReplicaFetcher,
+        grants: Grants,
         control_port: int,
         clock: Clock,
         rng: random.Random,
@@ -78,6 +83,7 @@
         self._members = members
         self._fleet = fleet
         self._fetcher = fetcher
+        self._grants = grants
         self._control_port = control_port
         self._beat_port = own.address[1]
         self._clock = clock
@@ -119,6 +125,11 @@
                 self._take_beat(beat, addr[0], now)
             case Digest() as digest:
                 self._take_digest(digest, addr[0], now)
+            case Ask() as ask:
+                grant = self._grants.answer(ask, self._book.held_token > 0, now)
+                self.send_message(grant, addr[0])
+            case Grant() as grant:
+                self._grants.take_grant(grant)
 
     def error_received(self, exc: Exception) -> None:
         logger.debug("message to a peer was not delivered", extra={"error": repr(exc)})
@@ -161,8 +172,28 @@
             return max(self._total[0].hosts, 1)
         return self._members.count_listed()
 
+    def find_keeper(self, now: Instant) -> str | None:
+        """Return the address of the host that decides on quotas for all.
+
+        It is "" if this host does, and None if each host decides by its own share.
+        """
+        if self.is_meshed(now):
+            return None
+        if self._book.held_token:
+            return ""
+        if self._total is None or now.mono_ms - self._total[1] > DIGEST_FRESH_MS:
+            return None
+        holder = self._total[0].holder
+        if holder is None or holder[1] == self._own.address[0]:
+            return None
+        return holder[1]
+
     # Sending
 
+    def send_message(self, message: Message, address: str) -> None:
+        """Send a message to one host."""
+        self._send(self._pack(message), address)
+
     async def send_beats(self) -> None:
         """Send messages at an interval, until cancelled."""
         while True:
@@ -288,6 +319,8 @@
                 self._fetcher.compare(beat.ends, (address, self._control_port), now)
             return
         member = self._book.note_counts(beat, place, now)
+        if member is not None and self._book.held_token:
+            self._grants.note_own_admissions(beat, now)
         # A beat with usage is for the holder of the duties, not for a relay.
         if member is not None and not beat.usage and not beat.taken:
             self._beats_heard_ms = now.mono_ms
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -9,6 +9,7 @@
 
 from waxwingbarrow.core import Instant, ServiceName, VersionName
 from waxwingbarrow.gateway._fleet import Fleet, Upstream
+from waxwingbarrow.gateway._grants import Grants
 from waxwingbarrow.gateway._model import Account, Call, CallFacts, Route
 from waxwingbarrow.gateway._plans import Plan, Refused, Trace
 from waxwingbarrow.gateway._ports import Codec
@@ -45,6 +46,7 @@
         codec: Codec,
         fleet: Fleet,
         quotas: Quotas,
+        grants: Grants,
         rollouts: Rollouts,
         suspects: Suspects,
         work: WorkBook,
@@ -55,6 +57,7 @@
         self._codec = codec
         self._fleet = fleet
         self._quotas = quotas
+        self._grants = grants
         self._rollouts = rollouts
         self._suspects = suspects
         self._work = work
@@ -65,7 +68,7 @@
         self.refuse_all = False
 
     def plan(self, call: Call, now: Instant) -> Plan | Refused:
-        """Accept a request or refuse it as not run."""
+        """Find what a request asks for, or refuse it as not run."""
         if self.table is None:
             return Refused(503, "no configuration", RETRY_AFTER_NOT_READY_S)
         if self.refuse_all:
@@ -83,9 +86,9 @@
             case NoAccount():
                 return Refused(401, "unknown key")
             case Routed(route, account):
-                return self._accept(call, facts, route, account, now)
+                return self._make_plan(call, facts, route, account, now)
 
-    def _accept(
+    def _make_plan(
         self,
         call: Call,
         facts: CallFacts,
@@ -102,11 +105,6 @@
         if self._suspects.is_refused(fingerprint, now):
             return Refused(503, "crashes upstreams", RETRY_AFTER_SUSPECT_S)
         cost = self._quotas.count_cost(account, facts)
-        taken = self._quotas.try_take(account, cost, now)
-        if isinstance(taken, Err):
-            retry_after_s = taken.err_value.retry_after_s
-            inputs = self._describe_quota(route, account, cost, now)
-            return Refused(429, "over the limit", retry_after_s, inputs)
         deadline_ms = (
             DEFAULT_DEADLINE_MS if facts.deadline_ms is None else facts.deadline_ms
         )
@@ -129,14 +127,26 @@
             trace,
         )
 
-    def _describe_quota(
-        self, route: Route, account: Account | None, cost: float, now: Instant
-    ) -> dict[str, object]:
+    async def admit(self, plan: Plan, now: Instant) -> Refused | None:
+        """Charge a request to its account; return the refusal if it is over the limit.
+
+        It waits only where another host decides on the account's limit.
+        """
+        admitted = await self._grants.admit(plan.account, plan.cost, now)
+        if isinstance(admitted, Err):
+            retry_after_s = admitted.err_value.retry_after_s
+            inputs = self._describe_quota(plan, now)
+            return Refused(429, "over the limit", retry_after_s, inputs)
+        plan.charge = admitted.ok_value
+        return None
+
+    def _describe_quota(self, plan: Plan, now: Instant) -> dict[str, object]:
+        account = plan.account
         state = self._quotas.describe(account, now) if account is not None else None
         return {
-            "route": route.name,
+            "route": plan.route.name,
             "account": account.name if account is not None else "",
-            "cost": cost,
+            "cost": plan.cost,
             **(attrs.asdict(state) if state is not None else {}),
         }
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -3,6 +3,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant, UpstreamId
+from waxwingbarrow.gateway._grants import Charge
 from waxwingbarrow.gateway._model import Account, Call, CallFacts, Route
 
 
@@ -24,7 +25,15 @@
 
 @attrs.define(eq=False)
 class Plan:
-    """An accepted request."""
+    """What a request asks for, and what became of it so far.
+
+    Parameters
+    ----------
+    cost : float
+        What its account is charged.
+    charge : Charge
+        Where it was charged.
+    """
 
     call: Call
     facts: CallFacts
@@ -34,6 +43,7 @@
     until: Instant
     fingerprint: str
     trace: Trace
+    charge: Charge = Charge.NOWHERE
     began: bool = False
     may_have_run: bool = False
     arrivals: int = 0
--- a/libs/gateway/src/waxwingbarrow/gateway/_quotas.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quotas.py
@@ -58,6 +58,8 @@
 
     Parameters
     ----------
+    burst : float
+        Content of the full limit.
     total : TokenBucket
         The whole limit, from which the charges of all hosts are taken as they become
         known.
@@ -73,6 +75,7 @@
     """
 
     account: Account
+    burst: float
     total: TokenBucket
     share: TokenBucket
     meter: DemandMeter
@@ -83,6 +86,26 @@
     peers_taken: dict[Origin, float] = attrs.Factory(dict)
 
 
+@attrs.frozen(kw_only=True)
+class Limit:
+    """An account's limit as this host knows it.
+
+    Parameters
+    ----------
+    rate_per_s, burst : float
+        The limit, with the allowed excess.
+    level : float
+        Estimate of what is left of it.
+    heard_part : float
+        Part of the hosts that are heard; the others use their parts unheard.
+    """
+
+    rate_per_s: float
+    burst: float
+    level: float
+    heard_part: float
+
+
 @attrs.frozen(kw_only=True)
 class QuotaState:
     """What a decision on a quota was made from, for the log.
@@ -158,6 +181,7 @@
             burst_s = max(burst, 1.0) / account.rate_per_s
             quota = _Quota(
                 account,
+                max(burst, 1.0),
                 TokenBucket(account.rate_per_s, burst_s, now),
                 TokenBucket(account.rate_per_s / max(host_count, 1), burst_s, now),
                 known.meter if known else DemandMeter(DEMAND_WINDOW_S),
@@ -306,6 +330,36 @@
         quota.taken += cost
         return Ok(None)
 
+    def find_limit(self, name: AccountId, now: Instant) -> Limit | None:
+        """Return an account's limit; None if it has none."""
+        quota = self._quotas.get(name)
+        if quota is None:
+            return None
+        others = self._others.get(name)
+        part = 1.0 if others is None else others.host_count / others.known_count
+        return Limit(
+            rate_per_s=quota.account.rate_per_s,
+            burst=quota.burst,
+            level=quota.total.measure_level(now),
+            heard_part=part,
+        )
+
+    def note_granted(
+        self, account: Account, cost: float, is_admitted: bool, now: Instant
+    ) -> None:
+        """Note a request on which the keeper decided."""
+        quota = self._quotas.get(account.name)
+        if quota is not None:
+            quota.meter.add(cost, now)
+            if is_admitted:
+                quota.total.settle(-cost, now)
+
+    def give_back_grant(self, name: AccountId, cost: float) -> None:
+        """Return what the keeper charged for a request that did not run."""
+        quota = self._quotas.get(name)
+        if quota is not None:
+            quota.taken -= cost
+
     def describe(self, account: Account, now: Instant) -> QuotaState | None:
         """Return the state of an account's quota; None if it has no limit."""
         quota = self._quotas.get(account.name)
--- a/libs/gateway/tests/test_knowledge.py
+++ b/libs/gateway/tests/test_knowledge.py
@@ -16,6 +16,7 @@
 from waxwingbarrow.gateway import KeyedRecord, StoreUnreachable, Topic, UpstreamEntry
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._follower import StoreWatch
+from waxwingbarrow.gateway._grants import Grants, Keeper
 from waxwingbarrow.gateway._knowledge import Knowledge
 from waxwingbarrow.gateway._members import Members
 from waxwingbarrow.gateway._planner import Planner
@@ -55,6 +56,7 @@
             codec,
             self.fleet,
             quotas,
+            Grants(quotas, Keeper(quotas), self.clock, lambda now: None, None),
             rollouts,
             Suspects(),
             WorkBook(),
--- a/libs/gateway/tests/test_peers.py
+++ b/libs/gateway/tests/test_peers.py
@@ -12,6 +12,7 @@
 from waxwingbarrow.gateway._book import PeerBook
 from waxwingbarrow.gateway._fetches import ReplicaFetcher
 from waxwingbarrow.gateway._fleet import Fleet
+from waxwingbarrow.gateway._grants import Grants, Keeper
 from waxwingbarrow.gateway._members import Member, Members
 from waxwingbarrow.gateway._peers import PeerLink
 from waxwingbarrow.gateway._ports import Topic
@@ -115,6 +116,13 @@
             replicas,
             self.strength,
         )
+        self.grants = Grants(
+            quotas,
+            Keeper(quotas),
+            network.clock,
+            lambda now: self.link.find_keeper(now),
+            lambda ask, address: self.link.send_message(ask, address),
+        )
         own = Member(host, (address, PORT), centre, 1, None, 0, self.strength)
         fetcher = ReplicaFetcher(
             replicas, network.clock, lambda pages: None, lambda topic, now: True
@@ -125,6 +133,7 @@
             self.members,
             fleet,
             fetcher,
+            self.grants,
             9000,
             network.clock,
             random.Random(name),
@@ -208,6 +217,28 @@
     assert sum(delay < 0.05 for delay in delays) <= len(delays) / 4
 
 
+def test_every_host_asks_the_holder_of_the_duties_for_quota():
+    network = Network(5, 15)
+    network.run(9)
+    now = network.clock.now()
+    holder = next(h for h in network.hosts.values() if h.link.is_candidate(now))
+    holder.book.held_token = 9
+    network.run(6)
+    now = network.clock.now()
+    found = {host.link.find_keeper(now) for host in network.hosts.values()}
+    assert found == {"", holder.address}
+    assert holder.link.find_keeper(now) == ""
+
+
+def test_hosts_of_a_small_deployment_decide_by_themselves():
+    network = Network(2, 3)
+    network.run(6)
+    now = network.clock.now()
+    next(iter(network.hosts.values())).book.held_token = 9
+    network.run(3)
+    assert {h.link.find_keeper(now) for h in network.hosts.values()} == {None}
+
+
 def test_hosts_with_large_links_are_the_relays():
     # On plateau-rota-grown relays with a link of 10 Mbit/s were overloaded by what
     # the 15 hosts of their data centre fetched, and all their messages were lost.
