Move streams off engines that leave

The platform gives two to three seconds of notice, and the engines can copy a run's memory elsewhere.

The decision is the product's own (`decide_reclaim`), now with streams that cannot begin again: a stream that ends in time stays; later its run is stopped, copied and goes on at another engine of the same version with a free slot, within the retry budget. If there is no room elsewhere it goes on where it was. A copy that is refused is not run again.

--- a/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
@@ -66,6 +66,20 @@
     body: bytes
 
 
+@attrs.frozen
+class Moved:
+    """The run goes on at another upstream, from a copy of its memory.
+
+    Parameters
+    ----------
+    memory_copy : str
+        Names the copy.
+    """
+
+    upstream: Upstream
+    memory_copy: str
+
+
 AttemptFailure = NotSent | NotRun | Lost | Expired
 
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -10,6 +10,7 @@
     AttemptFailure,
     Expired,
     Lost,
+    Moved,
     NotRun,
     NotSent,
     Opened,
@@ -21,6 +22,7 @@
 from waxwingbarrow.gateway._budgets import Budgets
 from waxwingbarrow.gateway._callers import Responder
 from waxwingbarrow.gateway._channels import BrokenError
+from waxwingbarrow.gateway._events import END as EVENT_END
 from waxwingbarrow.gateway._events import EventSplitter
 from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
 from waxwingbarrow.gateway._grants import Grants
@@ -31,6 +33,7 @@
     RouteKind,
     Sending,
 )
+from waxwingbarrow.gateway._moves import StreamJob
 from waxwingbarrow.gateway._planner import RETRY_AFTER_BUSY_S, Planner
 from waxwingbarrow.gateway._plans import Plan, Refused
 from waxwingbarrow.gateway._ports import Codec
@@ -128,7 +131,8 @@
         if plan.route.is_repeatable and plan.arrivals + 1 < plan.route.max_attempts:
             part_ms = int((until.mono_ms - started.mono_ms) * ATTEMPT_SHARE)
             until = started.plus_ms(part_ms)
-        job = self._start_job(plan, upstream, placement, started)
+        cached_tokens = placement.view.cached_tokens
+        job = self._start_job(plan, upstream, cached_tokens, started)
         try:
             outcome: Answered | Opened | AttemptFailure = await open_attempt(
                 plan.call,
@@ -152,16 +156,26 @@
     async def _serve_stream(self, plan: Plan, responder: Responder) -> str:
         splitter = EventSplitter()
         last: Answered | None = None
+        moved: Moved | None = None
         while True:
             now = self._clock.now()
-            chosen = self._planner.choose(plan, now)
-            if isinstance(chosen, Refused) or plan.until.mono_ms <= now.mono_ms:
-                return self._give_up(plan, chosen, last, responder)
-            upstream, placement = chosen
+            if moved is not None:
+                upstream, cached_tokens = moved.upstream, plan.facts.prompt_tokens
+            else:
+                chosen = self._planner.choose(plan, now)
+                if isinstance(chosen, Refused) or plan.until.mono_ms <= now.mono_ms:
+                    return self._give_up(plan, chosen, last, responder)
+                upstream, placement = chosen
+                cached_tokens = placement.view.cached_tokens
             outcome = await self._attempt_stream(
-                plan, upstream, placement, splitter, responder
+                plan, upstream, cached_tokens, splitter, responder, moved
             )
+            moved = None
             match outcome:
+                case Moved():
+                    moved = outcome
+                    splitter.drop_rest()
+                    continue
                 case Answered(head):
                     if responder.ended:
                         return f"answered {head.status}"
@@ -182,21 +196,22 @@
         self,
         plan: Plan,
         upstream: Upstream,
-        placement: Placement,
+        cached_tokens: int,
         splitter: EventSplitter,
         responder: Responder,
-    ) -> Answered | AttemptFailure:
+        moved: Moved | None,
+    ) -> Answered | Moved | AttemptFailure:
         started = self._clock.now()
         after = splitter.last_id
         if after is None:
             after = plan.facts.after_event
-        job = self._start_job(plan, upstream, placement, started)
+        job = self._start_job(plan, upstream, cached_tokens, started)
         outcome: Answered | Opened | AttemptFailure
         try:
             outcome = await open_attempt(
                 plan.call,
                 plan.facts.request_id,
-                self._make_sending(plan, upstream, after, started),
+                self._make_sending(plan, upstream, after, started, moved),
                 upstream,
                 self._codec,
                 plan.until,
@@ -212,6 +227,11 @@
                     outcome = await read_answer(
                         outcome, upstream, plan.until, self._clock
                     )
+            if isinstance(outcome, Lost) and job.move is not None:
+                result = await job.move
+                if result is not None:
+                    self._record_move(plan, upstream)
+                    return result
         finally:
             upstream.jobs.discard(job)
         self._record(plan, upstream, outcome, started, job)
@@ -222,7 +242,7 @@
         plan: Plan,
         upstream: Upstream,
         opened: Opened,
-        job: Job,
+        job: StreamJob,
         splitter: EventSplitter,
         responder: Responder,
         started: Instant,
@@ -240,6 +260,7 @@
                         self._note_first_event(plan, job, started)
                     if not responder.started:
                         self._start_stream(opened.head, responder)
+                    job.events += events.count(EVENT_END)
                     responder.send_chunk(events)
             if splitter.rest:
                 # A torn event at a clean end: the upstream broke off.
@@ -274,16 +295,17 @@
     # Common parts
 
     def _start_job(
-        self, plan: Plan, upstream: Upstream, placement: Placement, now: Instant
-    ) -> Job:
+        self, plan: Plan, upstream: Upstream, cached_tokens: int, now: Instant
+    ) -> StreamJob:
         facts = plan.facts
-        unread = max(facts.prompt_tokens - placement.view.cached_tokens, 0)
-        job = Job(
+        unread = max(facts.prompt_tokens - cached_tokens, 0)
+        job = StreamJob(
             facts.request_id,
             plan.account.name if plan.account else None,
             now.mono_ms,
             unread,
             facts.prompt_tokens + facts.max_output_tokens // 2,
+            plan=plan,
         )
         upstream.jobs.add(job)
         plan.tried.add(upstream.entry.upstream)
@@ -294,7 +316,12 @@
         return job
 
     def _make_sending(
-        self, plan: Plan, upstream: Upstream, after: int | None, now: Instant
+        self,
+        plan: Plan,
+        upstream: Upstream,
+        after: int | None,
+        now: Instant,
+        moved: Moved | None = None,
     ) -> Sending:
         account = plan.account
         priority = plan.route.priority
@@ -306,6 +333,7 @@
             remaining_ms=max(plan.until.mono_ms - now.mono_ms, 1),
             priority=priority if plan.facts.has_token_counts else None,
             after_event=after,
+            memory_copy=moved.memory_copy if moved is not None else None,
         )
 
     def _begin(self, plan: Plan) -> None:
@@ -368,19 +396,28 @@
             )
         plan.trace.attempts.append(f"{name}: {result}")
 
+    def _record_move(self, plan: Plan, upstream: Upstream) -> None:
+        plan.arrivals += 1
+        plan.moves += 1
+        plan.may_have_run = True
+        plan.trace.attempts.append(f"{upstream.entry.upstream}: moved")
+
     def _may_repeat(self, plan: Plan) -> bool:
         """Whether a request that ran may be sent to one more upstream."""
-        return plan.route.is_repeatable and plan.arrivals < plan.route.max_attempts
+        return plan.route.is_repeatable and plan.has_attempts_left
 
     def _may_go_on(self, plan: Plan, outcome: Answered | AttemptFailure) -> bool:
         now = self._clock.now()
         if plan.until.mono_ms - now.mono_ms < MIN_WORK_MS:
             return False
         match outcome:
+            case NotSent() | NotRun() if plan.moves and not plan.route.is_repeatable:
+                # A run that was moved and cannot go on there has ended.
+                return False
             case NotSent():
                 return True
             case NotRun():
-                may_send = plan.arrivals < plan.route.max_attempts
+                may_send = plan.has_attempts_left
             case _:
                 may_send = self._may_repeat(plan)
         service = self._planner.pick_service(plan)
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -85,6 +85,8 @@
     ----------
     gone : bool
         Whether it is no longer registered; requests on it may still end.
+    leaves_at_ms : int or None
+        Monotonic time at which it will end, once it is known to leave.
     has_lapsed : bool
         Whether its registration went while the store was away, which says little about
         the upstream itself; it is used if there is no other.
@@ -98,6 +100,7 @@
     failure_rate_ms: int = 0
     gone: bool = False
     has_lapsed: bool = False
+    leaves_at_ms: int | None = None
 
     @property
     def incarnation(self) -> Incarnation:
@@ -142,10 +145,17 @@
     Attributes
     ----------
     upstreams : dict
-        By identifier; an upstream that left stays until its requests have ended.
+        By identifier.
+
+    Parameters
+    ----------
+    drain_ms : int
+        Time for which an upstream that leaves goes on serving, if it does not say.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_ms: int = 2_000) -> None:
+        self._drain_ms = drain_ms
+        self._leaving: list[Upstream] = []
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self.parts = PartIndex(int(DEFAULT_MEMORY_TOKENS * CACHE_SHARE))
         self.health = HealthRegistry(HEALTH_POLICY)
@@ -172,9 +182,13 @@
                     )
                 known.entry = entry
                 known.has_lapsed = False
+                if entry.leaving:
+                    self._note_leaving(known, entry.leaves_in_ms, now)
                 return
             self._discard(known, "upstream restarted under its id")
         upstream = Upstream(entry, ChannelPool(entry.host, entry.port))
+        if entry.leaving:
+            self._note_leaving(upstream, entry.leaves_in_ms, now)
         self.upstreams[entry.upstream] = upstream
         self._services.setdefault(entry.service, []).append(upstream)
         logger.info(
@@ -188,11 +202,38 @@
             },
         )
 
-    def remove(self, upstream_id: UpstreamId) -> None:
-        """Stop sending to an upstream that is no longer registered."""
+    def _note_leaving(
+        self, upstream: Upstream, leaves_in_ms: int | None, now: Instant
+    ) -> None:
+        if upstream.leaves_at_ms is None:
+            self._leaving.append(upstream)
+            leaves_in_ms = self._drain_ms if leaves_in_ms is None else leaves_in_ms
+            upstream.leaves_at_ms = now.mono_ms + leaves_in_ms
+        elif leaves_in_ms is not None:
+            # Registrations arrive late, so the earliest time is the right one.
+            leaves_at_ms = now.mono_ms + leaves_in_ms
+            upstream.leaves_at_ms = min(upstream.leaves_at_ms, leaves_at_ms)
+
+    def list_leaving(self, now: Instant) -> list[tuple[Upstream, float]]:
+        """Return the upstreams that leave with work of this host, and the time left."""
+        self._leaving = [
+            upstream for upstream in self._leaving if upstream.jobs or not upstream.gone
+        ]
+        return [
+            (upstream, (upstream.leaves_at_ms or now.mono_ms) - now.mono_ms)
+            for upstream in self._leaving
+            if upstream.jobs
+        ]
+
+    def remove(self, upstream_id: UpstreamId, now: Instant) -> None:
+        """Stop sending to an upstream that is no longer registered.
+
+        Some leave without saying so before, and go on serving for a while.
+        """
         self._hash = None
         known = self.upstreams.pop(upstream_id, None)
         if known is not None:
+            self._note_leaving(known, None, now)
             self._discard(known, "upstream removed")
 
     def _discard(self, upstream: Upstream, message: str) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -36,6 +36,7 @@
 from waxwingbarrow.gateway._measures import Measures
 from waxwingbarrow.gateway._members import Member, Members
 from waxwingbarrow.gateway._model import CallerLimits, Service
+from waxwingbarrow.gateway._moves import Mover
 from waxwingbarrow.gateway._pages import Pages
 from waxwingbarrow.gateway._peers import PeerLink
 from waxwingbarrow.gateway._planner import Planner
@@ -110,7 +111,7 @@
             for topic in (Topic.OPERATOR, Topic.UPSTREAMS, Topic.STATUS, Topic.HOSTS)
         }
         self._members = Members(host)
-        self._fleet = Fleet()
+        self._fleet = Fleet(bounds.drain_ms)
         self._quotas = Quotas(
             bounds.quota_slack * QUOTA_PART,
             self._started.wall_ms,
@@ -166,6 +167,7 @@
             measures,
             self._budgets,
         )
+        self._mover = Mover(self._planner, self._fleet, codec, clock, self._budgets)
         self._callers = CallerServer(
             self._dispatcher.handle, self._find_limits, clock.now_ms
         )
@@ -367,6 +369,7 @@
         self._budgets.set_host_count(hosts)
         self._rollouts.decide(now)
         self._knowledge.remove_lapsed(now)
+        self._mover.start_moves(now)
         if self._scaling is not None:
             self._scaling.note_present(now)
         self._fleet.close_expired(now.mono_ms / 1000)
--- a/libs/gateway/src/waxwingbarrow/gateway/_knowledge.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_knowledge.py
@@ -124,7 +124,7 @@
             read = self._codec.read_upstream(record.key, record.value)
             if isinstance(read, Err):
                 self._note_unreadable(record.key, read.err_value.reason)
-                self._fleet.remove(UpstreamId(record.key))
+                self._fleet.remove(UpstreamId(record.key), now)
             else:
                 self._fleet.put(read.ok_value, now)
         for key in change.removed:
@@ -136,7 +136,7 @@
         if upstream is None:
             return
         if failed is None or now.mono_ms - failed.mono_ms >= LAPSE_GRACE_MS:
-            self._fleet.remove(upstream_id)
+            self._fleet.remove(upstream_id, now)
             return
         upstream.has_lapsed = True
         logger.info(
@@ -151,7 +151,7 @@
             return
         if now.mono_ms - regained.mono_ms >= LAPSE_GRACE_MS:
             for upstream_id in self._fleet.list_lapsed():
-                self._fleet.remove(upstream_id)
+                self._fleet.remove(upstream_id, now)
 
     def _take_status_change(self, change: Change) -> None:
         for record in change.changed:
--- a/libs/gateway/src/waxwingbarrow/gateway/_model.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_model.py
@@ -84,10 +84,16 @@
         Requests in one batch.
     memory_tokens : int
         Tokens that running requests and cached prompt parts share.
+    can_move : bool
+        Whether a run's memory can be copied to another engine.
+    tokens_per_event : int
+        Tokens in one event of a stream.
     """
 
     slots: int
     memory_tokens: int
+    can_move: bool = False
+    tokens_per_event: int = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -180,6 +186,8 @@
         if it is not stated.
     sequence : int
         Counts what this incarnation registered.
+    leaves_in_ms : int or None
+        Time until it ends, at the time of the registration, if it is known.
     """
 
     upstream: UpstreamId
@@ -193,6 +201,7 @@
     born_ms: int = 0
     sequence: int = 0
     reclaimable: bool = False
+    leaves_in_ms: int | None = None
 
     @property
     def address(self) -> str:
@@ -282,6 +291,8 @@
         Time that the upstream may use.
     after_event : int or None
         Last event that was passed on, when a stream is resumed.
+    memory_copy : str or None
+        Copy of the memory of the run that goes on.
     """
 
     upstream: UpstreamId
@@ -289,6 +300,7 @@
     remaining_ms: float
     priority: int | None = None
     after_event: int | None = None
+    memory_copy: str | None = None
 
 
 @attrs.frozen
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -10,7 +10,7 @@
 from waxwingbarrow.core import Instant, ServiceName, VersionName
 from waxwingbarrow.gateway._fleet import Fleet, Upstream
 from waxwingbarrow.gateway._grants import Grants
-from waxwingbarrow.gateway._model import Account, Call, CallFacts, Route
+from waxwingbarrow.gateway._model import Account, Call, CallFacts, Engine, Route
 from waxwingbarrow.gateway._plans import Plan, Refused, Trace
 from waxwingbarrow.gateway._ports import Codec
 from waxwingbarrow.gateway._quotas import Quotas
@@ -154,11 +154,7 @@
         """Choose the upstream for the next attempt."""
         facts = plan.facts
         service = self.pick_service(plan)
-        assert self.table is not None
-        engine = None
-        described = self.table.services.get(service)
-        if described is not None:
-            engine = described.engine
+        engine = self.find_engine(service)
         usable = self._fleet.list_usable(service, None)
         known: set[VersionName] = {item.entry.version for item in usable}
         rule = self._rollouts.find_rule(service, facts.request_id, known)
@@ -194,6 +190,34 @@
         trace.upstreams_age_ms = self._measure_age_ms(now)
         return upstream, placement
 
+    def find_engine(self, service: ServiceName) -> Engine | None:
+        """Return the properties of a service's engines."""
+        described = self.table.services.get(service) if self.table else None
+        return described.engine if described is not None else None
+
+    def choose_target(
+        self, plan: Plan, source: Upstream, now: Instant
+    ) -> Upstream | None:
+        """Choose where a run goes on: an engine with a free slot and room for it."""
+        facts, entry = plan.facts, source.entry
+        engine = self.find_engine(entry.service)
+        if engine is None:
+            return None
+        # Memory is of no use to other weights.
+        usable = self._fleet.list_usable(entry.service, entry.version)
+        needed = facts.prompt_tokens + facts.max_output_tokens
+        views = [
+            view
+            for view in self._fleet.view(usable, (), engine, now)
+            if view.running < view.slots
+            and view.used_tokens + needed <= view.memory_tokens
+        ]
+        work = Work(output_tokens=facts.max_output_tokens)
+        chosen = choose_worker(work, views, self._policy, self._rng)
+        if isinstance(chosen, Err):
+            return None
+        return self._fleet.upstreams[chosen.ok_value.view.upstream]
+
     def pick_service(self, plan: Plan) -> ServiceName:
         """Return the service that the route's weights give a request."""
         backends = plan.route.backends
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -33,6 +33,9 @@
         What its account is charged.
     charge : Charge
         Where it was charged.
+    arrivals, moves : int
+        How often it reached an upstream, and how often its run then went on elsewhere
+        from its memory, which is the same run.
     """
 
     call: Call
@@ -47,8 +50,14 @@
     began: bool = False
     may_have_run: bool = False
     arrivals: int = 0
+    moves: int = 0
     tried: set[UpstreamId] = attrs.Factory(set)
 
+    @property
+    def has_attempts_left(self) -> bool:
+        """Whether it may run at one more upstream."""
+        return self.arrivals - self.moves < self.route.max_attempts
+
 
 @attrs.frozen
 class Refused:
--- a/libs/gateway/src/waxwingbarrow/gateway/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_ports.py
@@ -1,5 +1,6 @@
 """Interfaces that an adapter to a platform implements."""
 
+import enum
 from typing import Protocol
 
 import attrs
@@ -208,6 +209,13 @@
         ...
 
 
+class MoveState(enum.Enum):
+    """What became of a run that was to be moved."""
+
+    COPIED = "copied"
+    STOPPED = "stopped without a copy elsewhere"
+
+
 class Codec(Protocol):
     """Translation of messages on connections to callers and upstreams."""
 
@@ -223,6 +231,18 @@
         """Decode the headers of an upstream's answer."""
         ...
 
+    def write_move(
+        self, request_id: str, target_address: str
+    ) -> tuple[bytes, Headers, bytes]:
+        """Return target, headers and body of the call that moves a run elsewhere."""
+        ...
+
+    def read_move(
+        self, status: int, body: bytes
+    ) -> Result[tuple[MoveState, str], Unreadable]:
+        """Decode its answer into what happened and the name of the copy."""
+        ...
+
     def write_answer(self, head: AnswerHead) -> Headers:
         """Return the headers to pass on to the caller."""
         ...
--- a/libs/gateway/src/waxwingbarrow/gateway/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_settings.py
@@ -73,6 +73,7 @@
     """Bounds of the deployment; see docs/gateway.md for each."""
 
     grace_s: float = 8.0
+    drain_ms: int = 2_000
     budget_ratio: float = 0.2
     budget_window_s: int = 10
     budget_slack: float = 50.0
--- a/libs/gateway/tests/test_beliefs.py
+++ b/libs/gateway/tests/test_beliefs.py
@@ -71,7 +71,7 @@
         fleet = Fleet()
         fleet.put(ENTRY, at(0))
         assert len(fleet.list_usable(POOL, None)) == 1
-        fleet.remove(ENTRY.upstream)
+        fleet.remove(ENTRY.upstream, at(0))
         assert fleet.list_usable(POOL, None) == []
 
     def test_an_unreachable_upstream_is_suspect_and_tried_again_later(self):
--- a/libs/routing/src/waxwingbarrow/routing/_reclaims.py
+++ b/libs/routing/src/waxwingbarrow/routing/_reclaims.py
@@ -61,6 +61,8 @@
         Prompt and generated tokens, all of which another upstream would recompute.
     prefill_tokens_per_s : float
         Rate at which it would recompute them; 0 if not reported.
+    can_recompute : bool
+        Whether the stream may be begun again elsewhere.
     """
 
     left_ms: int | None
@@ -68,6 +70,7 @@
     token_ms: float | None
     context_tokens: int
     prefill_tokens_per_s: float
+    can_recompute: bool = True
 
 
 def decide_reclaim(state: StreamState, policy: ReclaimPolicy) -> ReclaimStep:
@@ -99,10 +102,12 @@
     move_ms = policy.transfer_ms + (
         state.context_tokens / policy.transfer_tokens_per_s * 1000
     )
-    if move_ms < recompute_ms:
+    if move_ms < recompute_ms or not state.can_recompute:
         # The last quarter of the margin is for clocks; an export may use the rest.
         if left_ms > move_ms * raised:
             return ReclaimStep.STAY
         if left_ms + policy.margin_ms * 0.75 >= move_ms:
             return ReclaimStep.MOVE
-    return ReclaimStep.STAY if left_ms > 0 else ReclaimStep.RECOMPUTE
+    if left_ms > 0 or not state.can_recompute:
+        return ReclaimStep.STAY
+    return ReclaimStep.RECOMPUTE
