--- a/libs/gateway/src/waxwingbarrow/gateway/_logs.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_logs.py
@@ -77,9 +77,13 @@
             self._rest = self._rest[written:]
 
 
-def configure_logs(level: str, host: str, dropped: Counter) -> BoundedHandler:
-    """Send all log lines to the standard output as JSON."""
-    handler = BoundedHandler(sys.stdout.fileno(), dropped)
+def configure_logs(
+    level: str, host: str, dropped: Counter, descriptor: int | None = None
+) -> BoundedHandler:
+    """Send all log lines as JSON to the standard output, or elsewhere."""
+    if descriptor is None:
+        descriptor = sys.stdout.fileno()
+    handler = BoundedHandler(descriptor, dropped)
     handler.setFormatter(
         JsonFormatter(
             "{created}{levelname}{name}{message}",
