Log who decided on a refused request and what was left

A 429 in a large deployment is decided by the holder of the duties, but the line told only this host's estimate, which also counts what was refused elsewhere.

--- a/libs/gateway/src/waxwingbarrow/gateway/_beats.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_beats.py
@@ -129,6 +129,8 @@
         Whether the sender decides for all; otherwise nothing was charged.
     retry_after_s : float or None
         When the quota will suffice, if it does not.
+    left : float or None
+        What is left of it then.
     """
 
     format: int
@@ -136,6 +138,7 @@
     is_keeper: bool
     admitted: bool
     retry_after_s: float | None = None
+    left: float | None = None
 
 
 Message = Beat | Digest | QuotaAsk | QuotaGrant
--- a/libs/gateway/src/waxwingbarrow/gateway/_grants.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_grants.py
@@ -64,6 +64,11 @@
             return Ok(None)
         return exact.bucket.try_take(cost, now)
 
+    def measure_left(self, name: AccountId, now: Instant) -> float:
+        """Return what is left of an account's limit; negative after a debt."""
+        exact = self._find(name, now)
+        return 0.0 if exact is None else round(exact.bucket.measure_level(now))
+
     def note_own_admissions(
         self, name: AccountId, origin: Origin, taken: float, now: Instant
     ) -> None:
@@ -135,6 +140,25 @@
     OWN_KEEPER = enum.auto()
 
 
+@attrs.frozen
+class OverLimit:
+    """A request that its account's quota does not allow now.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        When the quota will suffice.
+    decided_by : str
+        The keeper's address, or "own share".
+    left : float or None
+        What the keeper has left of the limit.
+    """
+
+    retry_after_s: float | None
+    decided_by: str
+    left: float | None = None
+
+
 class Grants:
     """Admission by quota: asks the keeper, and answers as the keeper.
 
@@ -165,7 +189,7 @@
 
     async def admit(
         self, account: Account | None, cost: float, now: Instant
-    ) -> Result[Charge, RateLimited]:
+    ) -> Result[Charge, OverLimit]:
         """Charge a request at the keeper, or by this host's own share."""
         if account is None or cost <= 0:
             return Ok(Charge.NOWHERE)
@@ -173,23 +197,27 @@
         if address is None or self._silent_until.get(address, 0) > now.mono_ms:
             return self._admit_by_share(account, cost, now)
         if not address:
-            decided = self._keeper.decide(account.name, cost, now)
-            self._quotas.note_granted(account, cost, decided.is_ok(), now)
-            return decided.map(lambda _: Charge.OWN_KEEPER)
-        grant = await self._ask(account, cost, address)
+            grant = self._decide(account.name, cost, now)
+            self._quotas.note_granted(account, cost, grant.admitted, now)
+            if not grant.admitted:
+                return Err(OverLimit(grant.retry_after_s, "keeper", grant.left))
+            return Ok(Charge.OWN_KEEPER)
+        answer = await self._ask(account, cost, address)
         now = self._clock.now()
-        if grant is None:
+        if answer is None:
             return self._admit_by_share(account, cost, now)
-        self._quotas.note_granted(account, cost, grant.admitted, now)
-        if not grant.admitted:
-            return Err(RateLimited(retry_after_s=grant.retry_after_s))
+        self._quotas.note_granted(account, cost, answer.admitted, now)
+        if not answer.admitted:
+            return Err(OverLimit(answer.retry_after_s, address, answer.left))
         return Ok(Charge.OTHER_KEEPER)
 
     def _admit_by_share(
         self, account: Account, cost: float, now: Instant
-    ) -> Result[Charge, RateLimited]:
+    ) -> Result[Charge, OverLimit]:
         taken = self._quotas.try_take(account, cost, now)
-        return taken.map(lambda _: Charge.OWN_SHARE)
+        if isinstance(taken, Err):
+            return Err(OverLimit(taken.err_value.retry_after_s, "own share"))
+        return Ok(Charge.OWN_SHARE)
 
     def give_back(
         self, account: Account | None, cost: float, charge: Charge, now: Instant
@@ -211,11 +239,17 @@
         """Return the answer to another host's request."""
         if not is_keeper:
             return QuotaGrant(FORMAT, ask.number, False, False)
-        decided = self._keeper.decide(AccountId(ask.account), ask.cost, now)
-        retry_after_s = None
+        return self._decide(AccountId(ask.account), ask.cost, now, ask.number)
+
+    def _decide(
+        self, name: AccountId, cost: float, now: Instant, number: int = 0
+    ) -> QuotaGrant:
+        decided = self._keeper.decide(name, cost, now)
         if isinstance(decided, Err):
             retry_after_s = decided.err_value.retry_after_s
-        return QuotaGrant(FORMAT, ask.number, True, decided.is_ok(), retry_after_s)
+            left = self._keeper.measure_left(name, now)
+            return QuotaGrant(FORMAT, number, True, False, retry_after_s, left)
+        return QuotaGrant(FORMAT, number, True, True)
 
     def note_own_admissions(self, beat: Beat, now: Instant) -> None:
         """Charge, as the keeper, what a host has admitted by itself."""
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -134,9 +134,10 @@
         """
         admitted = await self._grants.admit(plan.account, plan.cost, now)
         if isinstance(admitted, Err):
-            retry_after_s = admitted.err_value.retry_after_s
+            over = admitted.err_value
             inputs = self._describe_quota(plan, now)
-            return Refused(429, "over the limit", retry_after_s, inputs)
+            inputs |= {"decided_by": over.decided_by, "keeper_left": over.left}
+            return Refused(429, "over the limit", over.retry_after_s, inputs)
         plan.charge = admitted.ok_value
         return None
 
--- a/libs/gateway/tests/test_grants.py
+++ b/libs/gateway/tests/test_grants.py
@@ -274,6 +274,23 @@
     assert (grant.number, grant.is_keeper, grant.admitted) == (7, False, False)
 
 
+def test_a_refusal_tells_who_decided_and_what_was_left():
+    fleet = Fleet(count=20)
+    fleet.keeper = fleet.hosts[0]
+    now = fleet.clock.now()
+    while fleet.keeper.keeper.decide(NAME, 5_000, now).is_ok():
+        pass
+
+    async def ask(host):
+        return (await host.grants.admit(make_account(), 5_000, now)).err()
+
+    by_other, by_own = asyncio.run(ask(fleet.hosts[5])), asyncio.run(ask(fleet.keeper))
+    assert by_other.decided_by == fleet.keeper.address
+    assert by_own.decided_by == "keeper"
+    assert by_other.left == by_own.left < 5_000
+    assert by_other.retry_after_s > 0
+
+
 def test_a_lower_limit_binds_the_keeper_and_forgives_nothing():
     fleet = Fleet(count=20)
     keeper = fleet.hosts[0]
