--- a/libs/gateway/src/waxwingbarrow/gateway/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Entry host for deployments whose routes, keys and limits the platform publishes."""
 
+from waxwingbarrow.gateway._callers import CallerServer, Responder
 from waxwingbarrow.gateway._channels import (
     BrokenError,
     ChannelError,
@@ -70,6 +71,7 @@
     "Call",
     "CallFacts",
     "CallerLimits",
+    "CallerServer",
     "ChannelError",
     "ChannelPool",
     "Cloud",
@@ -93,6 +95,7 @@
     "MoveState",
     "Record",
     "RecordPage",
+    "Responder",
     "RolloutOrder",
     "RolloutState",
     "RolloutStatus",
