--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -19,14 +19,7 @@
 from waxwingbarrow.gateway._callers import CallerServer
 from waxwingbarrow.gateway._clock import BootClock
 from waxwingbarrow.gateway._dispatch import Dispatcher
-from waxwingbarrow.gateway._duties import (
-    MEMBER_TTL_MS,
-    Duties,
-    DutyTask,
-    Lease,
-    RolloutTask,
-    UsageTask,
-)
+from waxwingbarrow.gateway._duties import MEMBER_TTL_MS, Duties, DutyTask, Lease
 from waxwingbarrow.gateway._fetches import ReplicaFetcher
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._follower import Follower, StoreWatch
@@ -52,6 +45,7 @@
     split_address,
 )
 from waxwingbarrow.gateway._suspects import Suspects
+from waxwingbarrow.gateway._tasks import RolloutTask, UsageTask
 from waxwingbarrow.gateway._usage import UsageBook
 from waxwingbarrow.gateway._work import WorkBook
 from waxwingbarrow.rollout import CanaryPolicy
--- /dev/null
+++ b/libs/gateway/src/waxwingbarrow/gateway/_tasks.py
@@ -0,0 +1,210 @@
+"""Work of the holder of the duties: usage reports and rollout states."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+from result import Err
+
+from waxwingbarrow.core import AccountId, Instant
+from waxwingbarrow.gateway._duties import Lease
+from waxwingbarrow.gateway._model import RolloutState, RolloutStatus
+from waxwingbarrow.gateway._ports import (
+    Cloud,
+    CloudRefused,
+    Codec,
+    Fenced,
+    Store,
+    Topic,
+    describe,
+)
+from waxwingbarrow.gateway._rollouts import Rollout, Rollouts
+from waxwingbarrow.gateway._usage import UsageBook
+from waxwingbarrow.rollout import Complete, Withdraw
+
+logger = logging.getLogger("waxwingbarrow.gateway.duties")
+
+# Peers' counts arrive within a few beats; hosts that were cut off need longer.
+USAGE_SETTLE_S = 3.0
+# A host that did not act for this long has not held the duty in between.
+TENURE_GAP_MS = 4_000
+# A window whose report is late by more than this many times the allowed delay is not
+# worth a call.
+USAGE_GIVE_UP_FACTOR = 2.5
+
+
+class UsageRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Counts of a window as they are, or will be, reported."""
+
+    window: int
+    counts: dict[str, int]
+
+
+class UsageTask:
+    """Reports the usage of each window exactly once.
+
+    The counts of a window are recorded in the store before they are reported, so that
+    a later holder repeats the same counts if the outcome of a report is unknown.
+
+    Parameters
+    ----------
+    late_s : float
+        Time after the end of a window at which its report is due.
+    find_delay_ms : callable
+        Time that a new holder waits for the counts of the other hosts.
+    """
+
+    def __init__(
+        self,
+        book: UsageBook,
+        store: Store,
+        cloud: Cloud,
+        lease: Lease,
+        start: Instant,
+        late_s: float,
+        find_delay_ms: Callable[[Instant], int],
+    ) -> None:
+        self._find_delay_ms = find_delay_ms
+        self._tenure_since_ms = 0
+        self._acted_ms: int | None = None
+        self._book = book
+        self._store = store
+        self._cloud = cloud
+        self._lease = lease
+        self._give_up_ms = late_s * USAGE_GIVE_UP_FACTOR * 1000
+        self._recorded: dict[int, dict[str, int]] = {}
+        self._proposed: dict[int, dict[str, int]] = {}
+        self._offset = 0
+        self._read_token: int | None = None
+        self._next = book.find_window(start)
+
+    async def step(self, token: int, now: Instant) -> None:
+        """Report the windows that have ended."""
+        acted_ms, self._acted_ms = self._acted_ms, now.mono_ms
+        if acted_ms is None or now.mono_ms - acted_ms > TENURE_GAP_MS:
+            self._tenure_since_ms = now.mono_ms
+        if now.mono_ms - self._tenure_since_ms < self._find_delay_ms(now):
+            return
+        # Only holders write records, and lower numbers are fenced.
+        if token != self._read_token:
+            if not await self._read_records():
+                return
+            self._read_token = token
+            # A window is recorded only after the one before it was reported.
+            self._next = max([self._next, *self._recorded])
+        while True:
+            age_ms = now.wall_ms - self._book.compute_end_ms(self._next)
+            if age_ms < USAGE_SETTLE_S * 1000:
+                return
+            too_late = age_ms > self._give_up_ms
+            if not too_late and not await self._report(self._next, token):
+                return
+            self._next += 1
+
+    async def _read_records(self) -> bool:
+        while True:
+            read = await self._store.read_records(Topic.USAGE, self._offset)
+            if isinstance(read, Err):
+                logger.warning(
+                    "usage records not read",
+                    extra={"reason": describe(read.err_value)},
+                )
+                return False
+            page = read.ok_value
+            for record in page.records:
+                self._offset = record.offset + 1
+                usage = msgspec.msgpack.decode(record.value, type=UsageRecord)
+                self._recorded.setdefault(usage.window, usage.counts)
+            if not page.records or self._offset >= page.end:
+                return True
+
+    async def _report(self, window: int, token: int) -> bool:
+        counts = self._recorded.get(window)
+        if counts is None:
+            # An append without an answer may have been carried out, so it is only
+            # ever repeated with the same counts.
+            counts = self._proposed.get(window)
+            if counts is None:
+                summed = self._book.sum_window(window)
+                counts = {str(account): count for account, count in summed.items()}
+                self._proposed[window] = counts
+            record = msgspec.msgpack.encode(UsageRecord(window, counts))
+            appended = await self._store.append(Topic.USAGE, record, token)
+            if isinstance(appended, Err):
+                logger.warning(
+                    "usage not recorded",
+                    extra={"window": window, "reason": describe(appended.err_value)},
+                )
+                if isinstance(appended.err_value, Fenced):
+                    self._lease.note_refusal(token)
+                return False
+            self._recorded[window] = counts
+        typed = {AccountId(account): count for account, count in counts.items()}
+        reported = await self._cloud.report_usage(window, typed, token)
+        if isinstance(reported, Err):
+            failure = reported.err_value
+            logger.warning(
+                "usage not reported",
+                extra={"window": window, "token": token, "reason": describe(failure)},
+            )
+            if isinstance(failure, CloudRefused) and failure.fenced:
+                self._lease.note_refusal(token)
+            return False
+        logger.info(
+            "usage reported", extra={"window": window, "token": token, "counts": counts}
+        )
+        return True
+
+
+class RolloutTask:
+    """Records the states of rollouts."""
+
+    def __init__(
+        self, rollouts: Rollouts, store: Store, codec: Codec, lease: Lease
+    ) -> None:
+        self._rollouts = rollouts
+        self._store = store
+        self._codec = codec
+        self._lease = lease
+
+    async def step(self, token: int, now: Instant) -> None:
+        """Record what changed."""
+        for rollout in self._rollouts.list_rollouts():
+            wanted = self._find_state(rollout, now)
+            if wanted is rollout.recorded:
+                continue
+            if rollout.recorded in (RolloutState.DONE, RolloutState.WITHDRAWN):
+                continue
+            await self._record(rollout, wanted, token)
+
+    def _find_state(self, rollout: Rollout, now: Instant) -> RolloutState:
+        if rollout.state is not RolloutState.RUNNING:
+            return rollout.state
+        match self._rollouts.judge(rollout, now):
+            case Complete():
+                return RolloutState.DONE
+            case Withdraw():
+                return RolloutState.WITHDRAWN
+            case _:
+                return RolloutState.RUNNING
+
+    async def _record(self, rollout: Rollout, state: RolloutState, token: int) -> None:
+        order = rollout.order
+        status = RolloutStatus(
+            service=order.service, to_version=order.to_version, state=state
+        )
+        key, value = self._codec.write_status(status)
+        written = await self._store.write_keyed(Topic.STATUS, key, value, token)
+        if isinstance(written, Err):
+            logger.warning(
+                "rollout state not recorded",
+                extra={
+                    "service": order.service,
+                    "state": state.value,
+                    "reason": describe(written.err_value),
+                },
+            )
+            if isinstance(written.err_value, Fenced):
+                self._lease.note_refusal(token)
+            return
+        self._rollouts.take_status(status)
--- a/libs/gateway/tests/test_duties.py
+++ b/libs/gateway/tests/test_duties.py
@@ -16,7 +16,8 @@
     StoreUnreachable,
     _duties,
 )
-from waxwingbarrow.gateway._duties import Duties, Lease, UsageTask
+from waxwingbarrow.gateway._duties import Duties, Lease
+from waxwingbarrow.gateway._tasks import UsageTask
 from waxwingbarrow.gateway._usage import UsageBook
 
 WAIT_MS = 3_000
