--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -33,7 +33,7 @@
     RouteKind,
     Sending,
 )
-from waxwingbarrow.gateway._moves import StreamJob
+from waxwingbarrow.gateway._moves import PlannedJob
 from waxwingbarrow.gateway._planner import RETRY_AFTER_BUSY_S, Planner
 from waxwingbarrow.gateway._plans import Plan, Refused
 from waxwingbarrow.gateway._ports import Codec
@@ -242,7 +242,7 @@
         plan: Plan,
         upstream: Upstream,
         opened: Opened,
-        job: StreamJob,
+        job: PlannedJob,
         splitter: EventSplitter,
         responder: Responder,
         started: Instant,
@@ -296,10 +296,10 @@
 
     def _start_job(
         self, plan: Plan, upstream: Upstream, cached_tokens: int, now: Instant
-    ) -> StreamJob:
+    ) -> PlannedJob:
         facts = plan.facts
         unread = max(facts.prompt_tokens - cached_tokens, 0)
-        job = StreamJob(
+        job = PlannedJob(
             facts.request_id,
             plan.account.name if plan.account else None,
             now.mono_ms,
--- a/libs/gateway/src/waxwingbarrow/gateway/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_moves.py
@@ -43,13 +43,13 @@
 
 
 @attrs.define(eq=False)
-class StreamJob(Job):
-    """A stream at an engine.
+class PlannedJob(Job):
+    """A request at an upstream, with its plan.
 
     Parameters
     ----------
     events : int
-        Events that have arrived from this engine.
+        Events of a stream that have arrived from this upstream.
     move : Task or None
         The move that was begun; its result tells where the stream goes on.
     """
@@ -60,7 +60,7 @@
 
 
 def describe_stream(
-    job: StreamJob, engine: Engine, left_ms: float, now: Instant
+    job: PlannedJob, engine: Engine, left_ms: float, now: Instant
 ) -> StreamState:
     """Return what the decision on a stream reads."""
     facts = job.plan.facts
@@ -103,6 +103,7 @@
         self._codec = codec
         self._clock = clock
         self._budgets = budgets
+        self._moving: set[asyncio.Task[Moved | None]] = set()
 
     def start_moves(self, now: Instant) -> None:
         """Begin the moves that are due."""
@@ -111,12 +112,12 @@
             if engine is None or not engine.can_move:
                 continue
             for job in list(upstream.jobs):
-                if isinstance(job, StreamJob) and job.move is None:
+                if isinstance(job, PlannedJob) and job.move is None:
                     self._start_move(job, upstream, engine, left_ms, now)
 
     def _start_move(
         self,
-        job: StreamJob,
+        job: PlannedJob,
         source: Upstream,
         engine: Engine,
         left_ms: float,
@@ -133,9 +134,12 @@
             return
         loop = asyncio.get_running_loop()
         job.move = loop.create_task(self._move(job, source, target, left_ms))
+        # The job is forgotten when its caller leaves.
+        self._moving.add(job.move)
+        job.move.add_done_callback(self._moving.discard)
 
     async def _move(
-        self, job: StreamJob, source: Upstream, target: Upstream, left_ms: float
+        self, job: PlannedJob, source: Upstream, target: Upstream, left_ms: float
     ) -> Moved | None:
         name, headers, body = self._codec.write_move(
             job.request_id, target.entry.address
