--- a/libs/gateway/tests/test_peers.py
+++ b/libs/gateway/tests/test_peers.py
@@ -264,6 +264,13 @@
     ]
 
 
+def appoint_candidate(network):
+    """Give the duties to the only candidate and return its name."""
+    (holder,) = list_candidates(network)
+    network.hosts[holder].book.held_token = 9
+    return holder
+
+
 def test_relays_become_candidates_one_after_the_other():
     # plateau-rota-grown trouble-2, hosts restarted in turn: five relays were members
     # of the group, and each that came or went moved the duties, ten times in 45 s.
@@ -276,19 +283,16 @@
     assert len(list_candidates(network)) == 2
 
 
-@pytest.mark.parametrize("restarted", range(6))
+@pytest.mark.parametrize("restarted", range(5))
 def test_a_restart_in_a_small_deployment_does_not_change_the_candidates(restarted):
     # Hosts of matsya-adda that were restarted in turn left the group and joined it,
     # and the store dealt the duty anew each time.
     network = Network(2, 3)
     network.run(6)
-    (holder,) = list_candidates(network)
-    network.hosts[holder].book.held_token = 9
+    holder = appoint_candidate(network)
     network.run(2)
-    host = list(network.hosts)[restarted]
-    if host == holder:
-        return
-    network.down.add(network.hosts[host].address)
+    others = [name for name in network.hosts if name != holder]
+    network.down.add(network.hosts[others[restarted]].address)
     for _ in range(6):
         network.run(1)
         assert list_candidates(network) == [holder]
@@ -350,8 +354,7 @@
 def test_no_other_host_is_a_candidate_while_one_holds_the_duties():
     network = Network(5, 15)
     network.run(9)
-    (holder,) = list_candidates(network)
-    network.hosts[holder].book.held_token = 9
+    holder = appoint_candidate(network)
     for _ in range(30):
         network.run(1)
         assert list_candidates(network) in ([holder], [])
@@ -362,8 +365,7 @@
 def test_another_relay_becomes_a_candidate_when_the_holder_is_gone(end):
     network = Network(5, 15)
     network.run(9)
-    (holder,) = list_candidates(network)
-    network.hosts[holder].book.held_token = 9
+    holder = appoint_candidate(network)
     network.run(6)
     assert list_candidates(network) == [holder]
     if end == "killed":
@@ -380,8 +382,7 @@
 def test_a_host_that_stands_in_for_a_relay_is_no_candidate_at_once():
     network = Network(2, 15)
     network.run(9)
-    (holder,) = list_candidates(network)
-    network.hosts[holder].book.held_token = 9
+    appoint_candidate(network)
     for _ in range(6):
         network.run(1)
         list_candidates(network)
@@ -399,8 +400,7 @@
 def test_the_last_counts_of_a_host_reach_the_holder():
     network = Network(5, 15)
     network.run(9)
-    (holder,) = list_candidates(network)
-    network.hosts[holder].book.held_token = 9
+    holder = appoint_candidate(network)
     network.run(6)
     host = next(h for n, h in network.hosts.items() if n != holder)
     host.usage.count(ACCOUNT, network.clock.now())
