Do not send a refused append again without time for its answer

Ruled out: waiting for the answer beyond the deadline, which holds callers past their own deadline. A record that was refused is now sent again only if 50 ms and twice the longest recent answer are left; otherwise its caller gets the refusal at once.

--- a/libs/platform/src/waxwingbarrow/platform/_appender.py
+++ b/libs/platform/src/waxwingbarrow/platform/_appender.py
@@ -11,7 +11,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from waxwingbarrow.core import Clock
+from waxwingbarrow.core import Clock, Instant
 from waxwingbarrow.platform._backoff import Backoff
 from waxwingbarrow.platform._failures import (
     LogFailure,
@@ -36,12 +36,22 @@
     retry_first_ms, retry_max_ms : int
         First and longest delay, before jitter, after an append that certainly did not
         take effect.
+    min_retry_time_ms : int
+        A record is not sent again with less than this left until its deadline.
     """
 
     max_records: int = 500
     max_bytes: int = 512 * 1024
     retry_first_ms: int = 20
     retry_max_ms: int = 1_000
+    min_retry_time_ms: int = 50
+
+
+# A record is sent again only if this many times the longest recent answer is left
+# until its deadline. A retry in flight at the deadline has an unknown outcome.
+RETRY_TIME_FACTOR = 2.0
+# Weight with which the longest recent answer decays towards a shorter one.
+ANSWER_TIME_DECAY = 0.2
 
 
 class _State(enum.Enum):
@@ -61,16 +71,17 @@
         Result for the caller; cancelled when the caller no longer waits.
     alone : bool
         Whether to send the record in an append of its own.
-    failure : LogFailure or None
+    failure : NotSent, LogRejected, Unsettled or None
         Failure of the last append that contained the record.
     """
 
     record: JsonRecord
     size_bytes: int
+    deadline_mono_ms: int
     done: asyncio.Future[Result[int, LogFailure]]
     state: _State = _State.QUEUED
     alone: bool = False
-    failure: LogFailure | None = None
+    failure: NotSent | LogRejected | Unsettled | None = None
 
     def resolve(self, result: Result[int, LogFailure]) -> None:
         if not self.done.done():
@@ -119,6 +130,7 @@
         )
         self._queue: deque[_Pending] = deque()
         self._record_queued = asyncio.Event()
+        self._answer_ms = 0.0
 
     @property
     def queued_count(self) -> int:
@@ -150,7 +162,10 @@
         if size_bytes > self._policy.max_bytes:
             return Err(LogRejected(413, f"the record has {size_bytes} bytes"))
         pending = _Pending(
-            record, size_bytes, asyncio.get_running_loop().create_future()
+            record,
+            size_bytes,
+            deadline_mono_ms,
+            asyncio.get_running_loop().create_future(),
         )
         end_watch = self._reader.watch(
             record["record_id"], lambda offset: pending.resolve(Ok(offset))
@@ -175,10 +190,10 @@
         while True:
             await self._record_queued.wait()
             self._record_queued.clear()
-            while batch := self._dequeue_batch():
+            while batch := self._dequeue_batch(self._clock.now()):
                 await self._send_batch(batch)
 
-    def _dequeue_batch(self) -> list[_Pending]:
+    def _dequeue_batch(self, now: Instant) -> list[_Pending]:
         batch: list[_Pending] = []
         size_bytes = 0
         while self._queue and len(batch) < self._policy.max_records:
@@ -186,6 +201,10 @@
             if pending.done.done():
                 self._queue.popleft()
                 continue
+            if pending.failure is not None and not self._has_retry_time(pending, now):
+                self._queue.popleft()
+                pending.resolve(Err(NotSent(pending.failure.reason)))
+                continue
             size_bytes += pending.size_bytes
             if batch and (size_bytes > self._policy.max_bytes or pending.alone):
                 break
@@ -194,10 +213,27 @@
                 break
         return batch
 
+    def _has_retry_time(self, pending: _Pending, now: Instant) -> bool:
+        """Whether an answer to a retry can be expected before the deadline."""
+        required_ms = max(
+            self._policy.min_retry_time_ms, RETRY_TIME_FACTOR * self._answer_ms
+        )
+        return pending.deadline_mono_ms - now.mono_ms >= required_ms
+
+    def _note_answer(self, sent_at: Instant, now: Instant) -> None:
+        elapsed_ms = now.mono_ms - sent_at.mono_ms
+        decayed_ms = self._answer_ms + ANSWER_TIME_DECAY * (
+            elapsed_ms - self._answer_ms
+        )
+        self._answer_ms = max(elapsed_ms, decayed_ms)
+
     async def _send_batch(self, batch: list[_Pending]) -> None:
         for pending in batch:
             pending.state = _State.SENT
-        match await self._client.append(self._stream, [p.record for p in batch]):
+        sent_at = self._clock.now()
+        outcome = await self._client.append(self._stream, [p.record for p in batch])
+        self._note_answer(sent_at, self._clock.now())
+        match outcome:
             case Ok(first_offset):
                 self._backoff.reset()
                 for index, pending in enumerate(batch):
@@ -228,7 +264,9 @@
                 for pending in batch:
                     pending.failure = failure
 
-    def _requeue(self, batch: Iterable[_Pending], failure: LogFailure) -> None:
+    def _requeue(
+        self, batch: Iterable[_Pending], failure: NotSent | LogRejected
+    ) -> None:
         unresolved = [pending for pending in batch if not pending.done.done()]
         for pending in unresolved:
             pending.state = _State.QUEUED
@@ -242,9 +280,8 @@
             return NotSent("the deadline passed before the append was sent")
         case _Pending(state=_State.QUEUED, failure=failure):
             assert failure is not None
-            return NotSent(failure.detail)
-        case _Pending(failure=None):
-            return Unsettled("the deadline passed before the answer")
+            return NotSent(failure.reason)
+        case _Pending(failure=Unsettled(reason=reason)):
+            return Unsettled(reason)
         case _:
-            assert pending.failure is not None
-            return Unsettled(pending.failure.detail)
+            return Unsettled("the deadline passed before the answer")
