Evaluate rollouts of more than 1,030 requests

Cause: the binomial coefficients of the comparison exceed a float, and the OverflowError ended the gateway of every host in a rollout. The sum is computed with logarithms, stops at negligible terms, and is skipped if there are no more failures than the old version lets expect. Ruled out: an approximation by a normal distribution, which is wrong for the few failures that decide. Before: both new cases raise. After: libs/rollout passes.

--- a/libs/rollout/src/waxwingbarrow/rollout/_canary.py
+++ b/libs/rollout/src/waxwingbarrow/rollout/_canary.py
@@ -12,6 +12,9 @@
 
 from waxwingbarrow.core import Instant, RouteName, in_range
 
+# Terms of a sum are left out from the first one that is smaller than this fraction.
+NEGLIGIBLE_TERM = 1e-12
+
 
 @attrs.frozen
 class RouteCounts:
@@ -159,17 +162,30 @@
 def _compute_p_value(
     counts: RouteCounts, old_counts: RouteCounts | None, policy: CanaryPolicy
 ) -> float:
-    """Return the binomial probability of at least as many failures at the old rate."""
+    """Return the binomial probability of at least as many failures at the old rate.
+
+    It is 1.0 for at most as many failures as the old rate lets expect.
+    """
     if counts.failures < 2:
         return 1.0
     rate = policy.tolerated_failure_rate
     if old_counts is not None and old_counts.requests > 0:
         rate = max(rate, (old_counts.failures + 0.5) / (old_counts.requests + 1))
     n = counts.requests
-    return sum(
-        math.comb(n, k) * rate**k * (1 - rate) ** (n - k)
-        for k in range(counts.failures, n + 1)
-    )
+    if counts.failures <= n * rate:
+        return 1.0
+    # Logarithms: the binomial coefficients exceed a float from about 1,030 requests on.
+    log_n = math.lgamma(n + 1)
+    log_rate, log_rest = math.log(rate), math.log1p(-rate)
+    p_value = 0.0
+    for k in range(counts.failures, n + 1):
+        log_term = log_n - math.lgamma(k + 1) - math.lgamma(n - k + 1)
+        term = math.exp(log_term + k * log_rate + (n - k) * log_rest)
+        p_value += term
+        # Above the expected number of failures the terms decrease.
+        if term <= p_value * NEGLIGIBLE_TERM:
+            break
+    return p_value
 
 
 def _is_slow(
--- a/libs/rollout/tests/test_canary.py
+++ b/libs/rollout/tests/test_canary.py
@@ -61,3 +61,19 @@
 
 def test_suspected_version_is_withdrawn_at_the_final_decision():
     assert isinstance(decide(OLD, [make_counts(30, 3)], 11.5), Withdraw)
+
+
+@pytest.mark.parametrize("requests", [1_030, 20_000])
+def test_many_requests_of_the_new_version_are_evaluated(requests):
+    """Guards against an overflow of the binomial coefficients, which ends the host."""
+    old = [make_counts(requests, failures=requests // 100)]
+    few = decide(old, [make_counts(requests, failures=2)], 8)
+    assert not isinstance(few, Withdraw)
+    many = decide(old, [make_counts(requests, failures=requests // 10)], 8)
+    assert isinstance(many, Withdraw)
+
+
+def test_version_is_continued_if_all_requests_of_both_versions_fail():
+    """Guards against a logarithm of 0 where the old version always fails."""
+    counts = [make_counts(10_000, failures=10_000)]
+    assert not isinstance(decide(counts, counts, 1), Withdraw)
