Keep the limit of a data centre when on-demand workers replace reclaimable ones

Cause: replacements were limited apart from the reclaimable workers, so 8 and 9 workers were ordered at a limit of 5. Replacements now leave room for the ready reclaimable workers, and the order of reclaimable ones leaves room for them.

--- a/libs/capacity/src/waxwingbarrow/capacity/_worker_scaling.py
+++ b/libs/capacity/src/waxwingbarrow/capacity/_worker_scaling.py
@@ -222,14 +222,26 @@
     # workers that are ordered now.
     missing -= starting
     while missing > 0:
+        open_centres = [
+            centre
+            for centre in need.prices
+            if targets[WorkerPool(centre, False)]
+            + state.count(WorkerPool(centre, True))
+            < need.max_workers
+        ]
+        if not open_centres:
+            break
         centre = min(
-            need.prices,
+            open_centres,
             key=lambda c: (targets[WorkerPool(c, False)], need.prices[c], c),
         )
-        if targets[WorkerPool(centre, False)] >= need.max_workers:
-            break
         targets[WorkerPool(centre, False)] += 1
         missing -= 1
+    for centre in need.prices:
+        # The limit of a data centre applies to both kinds of workers together.
+        pool = WorkerPool(centre, True)
+        free = need.max_workers - targets[WorkerPool(centre, False)]
+        targets[pool] = min(targets.get(pool, 0), max(free, 0))
     orders = []
     for pool, count in targets.items():
         order = _plan_order(pool, count, need, state, policy, now)
--- a/libs/capacity/tests/test_worker_scaling.py
+++ b/libs/capacity/tests/test_worker_scaling.py
@@ -55,6 +55,29 @@
         assert NEED.min_workers <= count <= NEED.max_workers
 
 
+@pytest.mark.parametrize("busy", [4.0, 9.0, 100.0])
+@pytest.mark.parametrize("ready_reclaimable", [0, 3])
+def test_worker_limits_hold_while_reclaimable_workers_are_refused(
+    busy, ready_reclaimable
+):
+    """Replacing refused workers by on-demand ones must not exceed the limit."""
+    need = attrs.evolve(NEED, busy_workers=busy)
+    reclaimable = [WorkerPool(centre, True) for centre in PRICES]
+    state = make_state(
+        ready=dict.fromkeys(reclaimable, ready_reclaimable),
+        ordered={pool: (5, Instant(90_000, 90_000)) for pool in reclaimable},
+        refused_at=dict.fromkeys(reclaimable, Instant(95_000, 95_000)),
+    )
+    targets = {pool: count for pool, (count, _) in state.ordered.items()}
+    targets |= {o.pool: o.count for o in plan_scaling(need, state, POLICY, NOW)}
+    desired = compute_desired_workers(need, POLICY, PRICES)
+    for centre in PRICES:
+        on_demand = targets.get(WorkerPool(centre, False), 0)
+        pool = WorkerPool(centre, True)
+        assert on_demand + targets[pool] <= need.max_workers
+        assert targets[pool] >= min(ready_reclaimable, desired[pool])
+
+
 def test_nothing_is_ordered_while_the_workers_match_the_need():
     assert plan_scaling(NEED, make_steady_state(), POLICY, NOW) == []
 
