Bound what an upstream can send besides its response

Bytes besides the body are bounded in proportion to it, headers and skipped responses by number, bodies read as a whole by a budget for each peer, and streams by the bytes without a numbered event and by the tokens asked for. The connection is closed, the caller gets 502 or another upstream, and the request's log line names the bound. Ruled out: a timeout alone; it bounds neither memory nor processor time. The pool moves to a module of its own; two counters that nothing read are gone.

--- a/libs/gateway/src/waxwingbarrow/gateway/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/__init__.py
@@ -5,10 +5,10 @@
 """
 
 from waxwingbarrow.gateway._callers import CallerServer, Responder
+from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._channels import (
     BrokenError,
     ChannelError,
-    ChannelPool,
     ConnectError,
 )
 from waxwingbarrow.gateway._clock import BootClock
--- /dev/null
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
@@ -0,0 +1,75 @@
+"""Pools of idle connections to upstreams and to the platform."""
+
+import asyncio
+
+from waxwingbarrow.gateway._channels import BodyBudget, Channel, ConnectError
+
+CONNECT_TIMEOUT_S = 0.6
+
+
+class ChannelPool:
+    """Pool of connections to one address.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address of the peer.
+    max_idle : int
+        Maximum number of idle connections.
+    """
+
+    def __init__(self, host: str, port: int, max_idle: int = 32) -> None:
+        self._host = host
+        self._port = port
+        self._max_idle = max_idle
+        self._idle: list[Channel] = []
+        self._body_budget = BodyBudget()
+
+    async def acquire(self, now_s: float) -> Channel:
+        """Return an idle connection or open one.
+
+        Raises
+        ------
+        ConnectError
+            The connection could not be established.
+        """
+        while self._idle:
+            channel = self._idle.pop()
+            if channel.is_fresh(now_s):
+                return channel
+            channel.close()
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, protocol = await loop.create_connection(
+                    lambda: Channel(self._body_budget), self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectError(repr(error)) from error
+        return protocol
+
+    def release(self, channel: Channel, now_s: float) -> None:
+        """Return a connection to the pool after its exchange."""
+        channel.finish(now_s)
+        if not channel.reusable:
+            return
+        if len(self._idle) >= self._max_idle:
+            channel.close()
+            return
+        self._idle.append(channel)
+
+    def close_expired(self, now_s: float) -> None:
+        """Close idle connections that the peer is about to close."""
+        kept = []
+        for channel in self._idle:
+            if channel.is_fresh(now_s):
+                kept.append(channel)
+            else:
+                channel.close()
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for channel in self._idle:
+            channel.close()
+        self._idle.clear()
--- a/libs/gateway/src/waxwingbarrow/gateway/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channels.py
@@ -14,7 +14,6 @@
 # A peer that does not acknowledge data for this long counts as unreachable. Round trips
 # take a few milliseconds, and TCP retransmits lost packets after about 200 ms.
 UNACKNOWLEDGED_TIMEOUT_MS = 1_500
-CONNECT_TIMEOUT_S = 0.6
 # TCP keep-alive detects a dead peer while no data is sent, on an idle connection or
 # while a response is awaited.
 KEEPALIVE_IDLE_S = 1
@@ -29,6 +28,18 @@
 MIN_IDLE_TIMEOUT_S = 0.5
 # Reading from the socket pauses while more of a body than this is unread.
 MAX_BUFFERED_BYTES = 524_288
+# Bytes of one exchange that are not part of the body of its response: heads, skipped
+# responses, framing of chunks and trailers.
+MAX_OVERHEAD_BYTES = 262_144
+# Framing takes several times the size of a body that arrives in chunks of a few bytes.
+OVERHEAD_PER_BODY_BYTE = 16
+MAX_HEADERS = 256
+# Informational responses and late responses to earlier requests in one exchange.
+MAX_SKIPPED_RESPONSES = 16
+# A body that is read as a whole. The largest are replicas of a configuration.
+MAX_BODY_BYTES = 16 * 1_048_576
+# Bodies of all exchanges with one peer that are read as a whole at the same time.
+MAX_POOLED_BODY_BYTES = 32 * 1_048_576
 
 
 class ChannelError(Exception):
@@ -73,6 +84,26 @@
     complete: bool = False
     error: ChannelError | None = None
     buffered_bytes: int = 0
+    received_bytes: int = 0
+    body_bytes: int = 0
+    skipped_responses: int = 0
+
+
+@attrs.define
+class BodyBudget:
+    """Memory for the bodies from one peer that are read as a whole.
+
+    Parameters
+    ----------
+    free_bytes : int
+        What is left of it.
+    """
+
+    free_bytes: int = MAX_POOLED_BODY_BYTES
+
+
+class _OversizedError(Exception):
+    """A response exceeds a bound; the message names the bound."""
 
 
 class Channel(asyncio.Protocol):
@@ -86,11 +117,10 @@
         Monotonic time at which the last exchange ended.
     idle_timeout_s : float
         Time after which an idle connection is not used any more.
-    used : bool
-        Whether a request was sent on this connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, body_budget: BodyBudget | None = None) -> None:
+        self._body_budget = body_budget or BodyBudget()
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._exchange: _Exchange | None = None
@@ -106,7 +136,6 @@
         self.reusable = True
         self.idle_since_s = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
-        self.used = False
 
     # asyncio.Protocol
 
@@ -116,19 +145,21 @@
         _set_timeouts(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
-        if self._exchange is None:
+        exchange = self._exchange
+        if exchange is None:
             # Data without a pending request.
             self.close()
             return
+        exchange.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            _check_overhead(exchange)
+        except _OversizedError as error:
+            self._reject(exchange, str(error))
+        except httptools.HttpParserCallbackError as error:
+            self._reject(exchange, str(error.__context__ or error))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            exchange = self._exchange
-            self.reusable = False
-            if exchange is None or exchange.complete:
-                self.close()
-            else:
-                self._fail(BrokenError(f"malformed response: {error}"))
+            self._reject(exchange, f"malformed response: {error}")
 
     def eof_received(self) -> bool:
         exchange = self._exchange
@@ -156,14 +187,22 @@
         self._headers = []
         self._has_length = False
         self._is_skipping = False
-        if self._exchange is None or self._exchange.complete:
+        exchange = self._exchange
+        if exchange is None or exchange.complete:
             self.reusable = False
             self._is_skipping = True
+            raise _OversizedError("bytes after the end of the response")
+        if exchange.skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise _OversizedError(
+                f"more than {MAX_SKIPPED_RESPONSES} responses without the expected one"
+            )
 
     def on_status(self, status: bytes) -> None:
         self._status_text += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self._headers) >= MAX_HEADERS:
+            raise _OversizedError(f"more than {MAX_HEADERS} headers")
         self._headers.append((name, value))
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._has_length = True
@@ -173,12 +212,15 @@
         status = self._parser.get_status_code()
         if status < 200 or self._is_skipping or exchange is None:
             self._is_skipping = True
+            if exchange is not None:
+                exchange.skipped_responses += 1
             return
         head = ResponseHead(status, self._status_text, self._headers)
         if not exchange.is_expected(head):
             # A late response to an earlier request; the expected one follows.
             self._is_skipping = True
             self.reusable = False
+            exchange.skipped_responses += 1
             return
         exchange.head = head
         if not self._has_length:
@@ -193,6 +235,7 @@
             return
         exchange.chunks.append(body)
         exchange.buffered_bytes += len(body)
+        exchange.body_bytes += len(body)
         if exchange.buffered_bytes > MAX_BUFFERED_BYTES and self._transport is not None:
             self._paused = True
             self._transport.pause_reading()
@@ -223,7 +266,6 @@
         if self._transport is None or self._transport.is_closing():
             raise BrokenError("the connection was closed while idle", sent=False)
         self._exchange = _Exchange(is_expected)
-        self.used = True
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -268,11 +310,28 @@
             await self._wait()
 
     async def read_body(self) -> bytes:
-        """Return the whole body, or raise the errors of `read_chunk`."""
+        """Return the whole body.
+
+        Raises
+        ------
+        BrokenError
+            The connection closed before the body was complete, or the body is larger
+            than `MAX_BODY_BYTES` or than what is left of the peer's `BodyBudget`.
+        """
         parts = []
-        while data := await self.read_chunk():
-            parts.append(data)
-        return b"".join(parts)
+        size_bytes = 0
+        budget = self._body_budget
+        try:
+            while data := await self.read_chunk():
+                parts.append(data)
+                size_bytes += len(data)
+                budget.free_bytes -= len(data)
+                if size_bytes > MAX_BODY_BYTES or budget.free_bytes < 0:
+                    self.close()
+                    raise BrokenError(f"the body has more than {size_bytes} bytes")
+            return b"".join(parts)
+        finally:
+            budget.free_bytes += size_bytes
 
     def finish(self, now_s: float) -> None:
         """End the exchange; the connection becomes idle or is closed."""
@@ -294,6 +353,14 @@
         """Whether the connection is open and within its idle timeout."""
         return self.is_open and now_s - self.idle_since_s < self.idle_timeout_s
 
+    def _reject(self, exchange: _Exchange, reason: str) -> None:
+        """Close the connection after bytes that are not part of a response."""
+        self.reusable = False
+        if exchange.complete:
+            self.close()
+        else:
+            self._fail(BrokenError(reason))
+
     def _fail(self, error: ChannelError) -> None:
         exchange = self._exchange
         if exchange is not None and exchange.error is None and not exchange.complete:
@@ -313,78 +380,12 @@
             self._waiter = None
 
 
-class ChannelPool:
-    """Pool of connections to one address.
-
-    Parameters
-    ----------
-    host, port : str, int
-        Address of the peer.
-    max_idle : int
-        Maximum number of idle connections.
-
-    Attributes
-    ----------
-    opened_count : int
-        Number of connections that were opened so far.
-    """
-
-    def __init__(self, host: str, port: int, max_idle: int = 32) -> None:
-        self._host = host
-        self._port = port
-        self._max_idle = max_idle
-        self._idle: list[Channel] = []
-        self.opened_count = 0
-
-    async def acquire(self, now_s: float) -> Channel:
-        """Return an idle connection or open one.
-
-        Raises
-        ------
-        ConnectError
-            The connection could not be established.
-        """
-        while self._idle:
-            channel = self._idle.pop()
-            if channel.is_fresh(now_s):
-                return channel
-            channel.close()
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, protocol = await loop.create_connection(
-                    Channel, self._host, self._port
-                )
-        except (OSError, TimeoutError) as error:
-            raise ConnectError(repr(error)) from error
-        self.opened_count += 1
-        return protocol
-
-    def release(self, channel: Channel, now_s: float) -> None:
-        """Return a connection to the pool after its exchange."""
-        channel.finish(now_s)
-        if not channel.reusable:
-            return
-        if len(self._idle) >= self._max_idle:
-            channel.close()
-            return
-        self._idle.append(channel)
-
-    def close_expired(self, now_s: float) -> None:
-        """Close idle connections that the peer is about to close."""
-        kept = []
-        for channel in self._idle:
-            if channel.is_fresh(now_s):
-                kept.append(channel)
-            else:
-                channel.close()
-        self._idle = kept
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for channel in self._idle:
-            channel.close()
-        self._idle.clear()
+def _check_overhead(exchange: _Exchange) -> None:
+    allowed_bytes = MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * exchange.body_bytes
+    if exchange.received_bytes - exchange.body_bytes > allowed_bytes:
+        raise _OversizedError(
+            f"more than {allowed_bytes} bytes besides the body of the response"
+        )
 
 
 def _set_timeouts(sock: socket.socket) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -21,7 +21,11 @@
 from waxwingbarrow.gateway._callers import Responder
 from waxwingbarrow.gateway._channels import BrokenError
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
+from waxwingbarrow.gateway._events import (
+    EVENT_END,
+    EventSplitter,
+    OversizedEventError,
+)
 from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
 from waxwingbarrow.gateway._http_heads import get_reason_phrase
 from waxwingbarrow.gateway._metrics import Metrics
@@ -48,6 +52,8 @@
 ATTEMPT_TIME_SHARE = 0.45
 # With less time left than this, a failed request is not retried.
 MIN_RETRY_MS = 2.0
+# Events of a stream beyond one for each output token, such as one that ends it.
+MAX_EXTRA_EVENTS = 16
 
 
 class Dispatcher:
@@ -275,6 +281,8 @@
                     if not responder.started:
                         self._start_stream(response.head, responder)
                     job.events += events.count(EVENT_END)
+                    if _has_too_many_events(plan, splitter):
+                        return ConnectionLost("more events than output tokens")
                     responder.send_chunk(events)
             if splitter.remainder:
                 # The body is complete for HTTP, but its last event is truncated.
@@ -285,7 +293,7 @@
             release(upstream, channel, response.metadata, self._clock)
             is_complete = True
             return ResponseReceived(response.head, b"")
-        except BrokenError as error:
+        except (BrokenError, OversizedEventError) as error:
             return ConnectionLost(str(error))
         except TimeoutError:
             return TimedOut()
@@ -541,3 +549,11 @@
                 "upstreams_age_ms": trace.upstreams_age_ms,
             },
         )
+
+
+def _has_too_many_events(plan: Plan, splitter: EventSplitter) -> bool:
+    metadata = plan.metadata
+    return (
+        metadata.has_token_counts
+        and splitter.event_count > metadata.max_output_tokens + MAX_EXTRA_EVENTS
+    )
--- a/libs/gateway/src/waxwingbarrow/gateway/_events.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_events.py
@@ -2,6 +2,12 @@
 
 EVENT_END = b"\n\n"
 ID_PREFIX = b"id:"
+# Bytes that may follow the last numbered event without completing another one.
+MAX_EVENT_BYTES = 262_144
+
+
+class OversizedEventError(Exception):
+    """A stream contains too many bytes without a numbered event."""
 
 
 class EventSplitter:
@@ -16,6 +22,8 @@
         Identifier of the last complete event.
     remainder : bytes
         Bytes after the last complete event.
+    event_count : int
+        Number of the complete events.
 
     Examples
     --------
@@ -29,33 +37,55 @@
     def __init__(self) -> None:
         self.last_id: int | None = None
         self.remainder = b""
+        self.event_count = 0
+        self._unnumbered_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises
+        ------
+        OversizedEventError
+            More than `MAX_EVENT_BYTES` arrived since the last numbered event.
+        """
+        self._unnumbered_bytes += len(data)
         if self.remainder:
             data = self.remainder + data
         end = data.rfind(EVENT_END)
         if end < 0:
+            self._check_size()
             self.remainder = data
             return b""
         end += len(EVENT_END)
         events, self.remainder = data[:end], data[end:]
-        self._note_id(events)
+        if self._note_id(events):
+            self._unnumbered_bytes = len(self.remainder)
+        self._check_size()
+        self.event_count += events.count(EVENT_END)
         return events
 
     def discard_remainder(self) -> None:
         """Discard the bytes of an incomplete event."""
         self.remainder = b""
+        self._unnumbered_bytes = 0
+
+    def _check_size(self) -> None:
+        if self._unnumbered_bytes > MAX_EVENT_BYTES:
+            raise OversizedEventError(
+                f"more than {MAX_EVENT_BYTES} bytes without a numbered event"
+            )
 
-    def _note_id(self, events: bytes) -> None:
+    def _note_id(self, events: bytes) -> bool:
         start = events.rfind(b"\n" + ID_PREFIX)
         if start >= 0:
             start += 1
         elif events.startswith(ID_PREFIX):
             start = 0
         else:
-            return
+            return False
         end = events.find(b"\n", start)
         number = events[start + len(ID_PREFIX) : end].strip()
-        if number.isdigit():
-            self.last_id = int(number)
+        if not number.isdigit():
+            return False
+        self.last_id = int(number)
+        return True
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -15,7 +15,7 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway._channels import ChannelPool
+from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
 from waxwingbarrow.routing import (
     HealthPolicy,
--- a/libs/gateway/src/waxwingbarrow/gateway/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_moves.py
@@ -12,7 +12,8 @@
 
 from waxwingbarrow.core import Clock, Instant
 from waxwingbarrow.gateway._attempts import Moved
-from waxwingbarrow.gateway._channels import ChannelError, ChannelPool
+from waxwingbarrow.gateway._channel_pools import ChannelPool
+from waxwingbarrow.gateway._channels import ChannelError
 from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
 from waxwingbarrow.gateway._http_heads import write_request_head
 from waxwingbarrow.gateway._model import Engine
--- a/libs/gateway/src/waxwingbarrow/gateway/_replica_fetcher.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_replica_fetcher.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._channels import ChannelError, ChannelPool
+from waxwingbarrow.gateway._channel_pools import ChannelPool
+from waxwingbarrow.gateway._channels import ChannelError
 from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord
 from waxwingbarrow.gateway._replica import Replica
 
--- a/libs/platform/src/waxwingbarrow/platform/_appender.py
+++ b/libs/platform/src/waxwingbarrow/platform/_appender.py
@@ -262,7 +262,8 @@
                     failure.detail,
                 )
                 for pending in batch:
-                    pending.failure = failure
+                    if isinstance(failure, Unsettled):
+                        pending.failure = failure
 
     def _requeue(
         self, batch: Iterable[_Pending], failure: NotSent | LogRejected
