Unite the relays of a data centre that started apart

Hosts start before all are registered, each relay told its hosts only of each other, and the other data centres sent their sums to the relay heard last. Relays now send their sums to every relay heard, those of the own data centre included, and to hosts preferred to them; the preferred one answers with its total, and a total names the host that replaces its sender. Old heartbeats and sums are dropped. Ruled out: choosing among all registered hosts, which makes hosts try dead ones by turns.

--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -92,6 +92,8 @@
         Fencing token and IP address of the holder of the duties.
     end_offsets, fleet_hash, eligibility : dict, int, int
         Of the relay itself, as in `Heartbeat`.
+    replacement : str
+        Host that replaces the sender as relay of its data centre; empty if none does.
     """
 
     format: int
@@ -111,6 +113,7 @@
     suspects: list[tuple[str, list[tuple[str, int]]]]
     withdrawn: list[tuple[str, int]]
     eligibility: int = 1
+    replacement: str = ""
 
 
 class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -50,6 +50,9 @@
 # Fraction of the interval over which a relay spreads its messages: slow links drop
 # datagrams if those for all hosts of a data centre are sent in one burst.
 SEND_SPREAD_RATIO = 0.7
+# Hosts preferred to a relay to which it sends its sums at each exchange, so that it
+# learns of those that run.
+MAX_PROBED_HOSTS = 3
 # Counts for the holder of the duties are cumulative, so they need not be sent often.
 HOLDER_EVERY_TICKS = 4
 # Time within which all hosts have learned of a new holder and sent it their counts.
@@ -301,7 +304,7 @@
         self._is_relay = acts_as_relay
         self._candidacy.note_relay(acts_as_relay, now)
         if acts_as_relay:
-            self._send_summaries(now)
+            self._send_summaries(relay, now)
         self._send_to_holder(heartbeat)
 
     def _list_possible_relays(self, now: Instant) -> list[HostId]:
@@ -313,7 +316,15 @@
             return [HostId(name) for name in self._last_total[0].members]
         return self._members.list_hosts_in(self._own.data_centre)
 
-    def _send_summaries(self, now: Instant) -> None:
+    def _send_summaries(self, relay: HostId, now: Instant) -> None:
+        """Send the sums over this data centre to relays, and the total to its hosts.
+
+        Parameters
+        ----------
+        relay : HostId
+            The relay of this host; another one if this host is about to be replaced as
+            relay, and then the total tells its hosts of that one.
+        """
         fleet_hash, end_offsets = (
             self._fleet.compute_hash(),
             self._peer_sync.list_end_offsets(),
@@ -325,6 +336,11 @@
         if self._ticks % EXCHANGE_EVERY_TICKS == 0:
             self._send_to_relays(own, now)
         total = self._aggregator.summarize_all(own, now)
+        replacement = "" if relay == self._own.host else str(relay)
+        known_hosts = sorted({*own.members, str(self._own.host), str(relay)})
+        total = msgspec.structs.replace(
+            total, members=known_hosts, replacement=replacement
+        )
         self._apply_total(total, now)
         data = self._encode(total)
         pause_s = RELAY_INTERVAL_S * SEND_SPREAD_RATIO / max(len(own.members), 1)
@@ -335,16 +351,40 @@
                 self._call_later(position * pause_s, send)
 
     def _send_to_relays(self, own: RelaySummary, now: Instant) -> None:
-        """Send the sums over this data centre to a relay of each other one."""
+        """Send the sums over this data centre to all other relays.
+
+        Also to hosts that are likely relays of data centres without a known one, and to
+        hosts of this data centre that are preferred to this one.
+        """
         parts, self._unsent_parts = self._unsent_parts, []
         data = self._encode(msgspec.structs.replace(own, parts=parts))
-        known = self._aggregator.find_relay_addresses(now)
+        known = self._aggregator.list_relay_addresses(now)
+        addresses = {address for listed in known.values() for address in listed}
         for centre in self._members.list_data_centres():
-            if centre == self._own.data_centre:
-                continue
-            address = known.get(centre) or self._guess_relay(centre)
-            if address is not None:
-                self._send(data, address)
+            if centre != self._own.data_centre and centre not in known:
+                addresses |= self._guess_relay(centre)
+        addresses |= self._list_preferred_hosts()
+        for address in sorted(addresses - {self._own.address[0]}):
+            self._send(data, address)
+
+    def _list_preferred_hosts(self) -> set[str]:
+        """Return addresses of hosts preferred to this one as relay.
+
+        The first one in rank is always among them; the others follow in turn.
+        """
+        hosts = {*self._members.list_hosts_in(self._own.data_centre), self._own.host}
+        ranked = rank_relays(hosts, self._find_relay_mbps)
+        preferred = ranked[: ranked.index(self._own.host)]
+        if not preferred:
+            return set()
+        number = self._ticks // EXCHANGE_EVERY_TICKS * (MAX_PROBED_HOSTS - 1)
+        probed = [preferred[0]]
+        probed += [
+            preferred[(number + step) % len(preferred)]
+            for step in range(MAX_PROBED_HOSTS - 1)
+        ]
+        members = [self._members.find(host) for host in probed]
+        return {member.address[0] for member in members if member is not None}
 
     def _find_relay_mbps(self, host: HostId) -> int:
         if host == self._own.host:
@@ -352,7 +392,7 @@
         member = self._members.find(host)
         return member.relay_mbps if member is not None else 0
 
-    def _guess_relay(self, centre: DataCentre) -> str | None:
+    def _guess_relay(self, centre: DataCentre) -> set[str]:
         """Return the address to try in a data centre whose relay is not known.
 
         The first host in rank is the relay as long as it runs, so it is tried every
@@ -362,12 +402,12 @@
         hosts = self._members.list_hosts_in(centre)
         ranked = rank_relays(hosts, self._find_relay_mbps)
         if not ranked:
-            return None
+            return set()
         number = self._ticks // EXCHANGE_EVERY_TICKS
         is_first = number % 2 == 0
         host = ranked[0] if is_first else ranked[number // 2 % len(ranked)]
         member = self._members.find(host)
-        return member.address[0] if member is not None else None
+        return {member.address[0]} if member is not None else set()
 
     def _send_to_holder(self, heartbeat: Heartbeat) -> None:
         """Send a heartbeat to the holder of the duties every `HOLDER_EVERY_TICKS`."""
@@ -420,6 +460,9 @@
     ) -> None:
         if summary.is_total:
             self._relay_selector.record_heard(HostId(summary.relay), now)
+            if summary.replacement:
+                # This host may have excluded it while it did not run.
+                self._relay_selector.record_heard(HostId(summary.replacement), now)
             self._apply_total(summary, now)
             control = (address, self._control_port)
             is_same = self._is_relay or summary.fleet_hash == self._fleet.compute_hash()
@@ -430,15 +473,29 @@
                 t: end for t, end in summary.end_offsets.items() if t != Topic.UPSTREAMS
             }
             self._fetcher.fetch_if_behind(end_offsets, control, now)
-        elif summary.data_centre != self._own.data_centre:
-            sender = self._members.find(HostId(summary.relay))
-            origin = sender.address[0] if sender is not None else address
-            if self._is_relay:
-                self._aggregator.add_summary(summary, origin, now)
-                control = (address, self._control_port)
-                self._fetcher.fetch_if_behind(summary.end_offsets, control, now)
-            elif address == origin:
+            return
+        if summary.relay == self._own.host:
+            # A host that was taken for another relay forwarded it.
+            return
+        sender = self._members.find(HostId(summary.relay))
+        origin = sender.address[0] if sender is not None else address
+        if not self._is_relay:
+            if address == origin:
                 self._forward_to_relay(summary, now)
+            return
+        self._aggregator.add_summary(summary, origin, now)
+        if summary.data_centre == self._own.data_centre:
+            self._settle_relay(HostId(summary.relay), origin, now)
+        control = (address, self._control_port)
+        self._fetcher.fetch_if_behind(summary.end_offsets, control, now)
+
+    def _settle_relay(self, other: HostId, address: str, now: Instant) -> None:
+        """Let the preferred one of two relays of this data centre replace the other."""
+        ranked = rank_relays([self._own.host, other], self._find_relay_mbps)
+        if ranked[0] == other:
+            self._relay_selector.record_heard(other, now)
+        elif self._last_total is not None:
+            self._send(self._encode(self._last_total[0]), address)
 
     def _forward_to_relay(self, summary: RelaySummary, now: Instant) -> None:
         """Forward a summary whose sender took this host for the relay."""
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -4,6 +4,12 @@
 `RELAY_MIN_HOSTS` hosts on, each host sends its heartbeats only to the relay of its data
 centre. Relays exchange sums over their data centres and send the total to their hosts.
 The traffic of a host that is not a relay then does not grow with the number of hosts.
+
+Hosts of one data centre may start with different relays, as they learn of each other
+one after the other. Relays of one data centre send each other their sums too, so the
+totals are complete meanwhile, and a relay sends its sums to hosts that are preferred to
+it. One of them that runs answers with its total, and the relay and its hosts change
+over to it.
 """
 
 from collections.abc import Callable, Iterable
@@ -22,6 +28,8 @@
 # `RELAY_RETRY_MS`.
 RELAY_TIMEOUT_MS = 1_600
 RELAY_RETRY_MS = 5_000
+# A relay of the own data centre counts as running for this long after its last message.
+RELAY_HEARD_MS = 2_500
 # Messages older than this are left out of the sums.
 HEARTBEAT_MAX_AGE_MS = 1_500
 SUMMARY_MAX_AGE_MS = 2_500
@@ -83,6 +91,7 @@
         self._own = own
         self._find_relay_mbps = find_relay_mbps
         self._excluded_until_ms: dict[HostId, int] = {}
+        self._heard_ms: dict[HostId, int] = {}
         self._current: HostId | None = None
         self._last_heard_ms = 0
 
@@ -92,9 +101,16 @@
         Parameters
         ----------
         hosts : iterable
-            Hosts of this host's data centre.
+            Hosts of this host's data centre. Hosts that were heard as its relays are
+            added to them.
         """
-        for host in rank_relays({*hosts, self._own}, self._find_relay_mbps):
+        self._heard_ms = {
+            host: heard_ms
+            for host, heard_ms in self._heard_ms.items()
+            if now.mono_ms - heard_ms < RELAY_HEARD_MS
+        }
+        possible = {*hosts, *self._heard_ms, self._own}
+        for host in rank_relays(possible, self._find_relay_mbps):
             if host == self._own or self._excluded_until_ms.get(host, 0) <= now.mono_ms:
                 if host != self._current:
                     self._current = host
@@ -105,6 +121,7 @@
     def record_heard(self, relay: HostId, now: Instant) -> None:
         """Record that a message of a relay arrived, and make it eligible again."""
         self._excluded_until_ms.pop(relay, None)
+        self._heard_ms[relay] = now.mono_ms
         if relay == self._current:
             self._last_heard_ms = now.mono_ms
 
@@ -116,6 +133,7 @@
         if now.mono_ms - self._last_heard_ms < RELAY_TIMEOUT_MS:
             return None
         self._excluded_until_ms[current] = now.mono_ms + RELAY_RETRY_MS
+        self._heard_ms.pop(current, None)
         self._current = None
         return current
 
@@ -150,18 +168,22 @@
 
     def add_summary(self, summary: RelaySummary, address: str, now: Instant) -> None:
         """Add another relay's summary; it replaces the one before."""
+        self._summaries = {
+            key: entry
+            for key, entry in self._summaries.items()
+            if now.mono_ms - entry[2] < SUMMARY_MAX_AGE_MS
+        }
         key = (summary.data_centre, summary.relay)
         self._summaries[key] = (summary, address, now.mono_ms)
 
-    def find_relay_addresses(self, now: Instant) -> dict[DataCentre, str]:
-        """Return the address of the relay that was heard last in each data centre."""
-        newest: dict[DataCentre, tuple[int, str]] = {}
+    def list_relay_addresses(self, now: Instant) -> dict[DataCentre, list[str]]:
+        """Return the addresses of the relays heard recently, by data centre."""
+        addresses: dict[DataCentre, list[str]] = {}
         for summary, address, received_ms in self._summaries.values():
-            centre = DataCentre(summary.data_centre)
-            is_fresh = now.mono_ms - received_ms < SUMMARY_MAX_AGE_MS
-            if is_fresh and received_ms >= newest.get(centre, (0, ""))[0]:
-                newest[centre] = (received_ms, address)
-        return {centre: address for centre, (_, address) in newest.items()}
+            if now.mono_ms - received_ms < SUMMARY_MAX_AGE_MS:
+                centre = DataCentre(summary.data_centre)
+                addresses.setdefault(centre, []).append(address)
+        return addresses
 
     def list_eligibility(self, now: Instant) -> dict[HostId, int]:
         """Return the eligibility of the other relays; see `DutyEligibility`."""
@@ -187,11 +209,12 @@
         fleet_hash, end_offsets, eligibility : int, dict, int
             Of the relay itself; see `Heartbeat`.
         """
-        fresh = [
-            received
-            for received in self._heartbeats.values()
+        self._heartbeats = {
+            host: received
+            for host, received in self._heartbeats.items()
             if now.mono_ms - received.received_ms < HEARTBEAT_MAX_AGE_MS
-        ]
+        }
+        fresh = list(self._heartbeats.values())
         heartbeats = [received.heartbeat for received in fresh]
         holders = [
             (entry.heartbeat.fencing_token, entry.address)
--- /dev/null
+++ b/libs/gateway/tests/peer_network.py
@@ -0,0 +1,181 @@
+"""Simulated network on which the message exchange of whole deployments runs."""
+
+import random
+
+from waxwingbarrow.core import DataCentre, HostId, ManualClock
+from waxwingbarrow.gateway._crash_tracker import CrashTracker
+from waxwingbarrow.gateway._fleet import Fleet
+from waxwingbarrow.gateway._members import Member, Members
+from waxwingbarrow.gateway._peer_sync import PeerSync
+from waxwingbarrow.gateway._peers import PeerProtocol
+from waxwingbarrow.gateway._ports import Topic
+from waxwingbarrow.gateway._quota_admission import QuotaAdmission, QuotaKeeper
+from waxwingbarrow.gateway._quotas import Quotas
+from waxwingbarrow.gateway._replica import Replica
+from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
+from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.gateway._usage import UsageCounter
+from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.rollout import CanaryPolicy
+
+PORT = 7000
+
+
+class FakeTransport:
+    def __init__(self, network, address):
+        self.network = network
+        self.address = address
+
+    def sendto(self, data, target):
+        self.network.queue.append((self.address, target[0], data))
+
+
+class Network:
+    """Simulated network of hosts.
+
+    Hosts whose address is in `down` neither send nor receive, and no messages pass
+    between the two addresses of a set in `cuts`. `sent` counts datagrams,
+    and `delays` holds the delays in seconds with which relays send.
+    """
+
+    def __init__(self, centres, per_centre, fast_hosts=()):
+        self.fast_hosts = fast_hosts
+        self.clock = ManualClock()
+        self.queue = []
+        self.down = set()
+        self.cuts = set()
+        self.sent = 0
+        self.delays = []
+        self.hosts = {}
+        for centre in range(centres):
+            for number in range(per_centre):
+                self.add(
+                    f"h{centre}-{number}", f"dc{centre}", f"10.{centre}.0.{number}"
+                )
+        self.register_all()
+
+    def register_all(self):
+        """Let every host read the registrations of all hosts."""
+        for name, host in self.hosts.items():
+            for other, known in self.hosts.items():
+                if other != name:
+                    host.members.add_registered(
+                        HostId(other),
+                        (known.address, PORT),
+                        known.centre,
+                        1,
+                        known.relay_mbps,
+                        self.clock.now(),
+                    )
+
+    def add(self, name, centre, address):
+        self.hosts[name] = Host(self, name, DataCentre(centre), address)
+
+    def fail(self, *names):
+        """Take hosts down."""
+        self.down |= {self.hosts[name].address for name in names}
+
+    def cut(self, name, other):
+        """Let no messages pass between two hosts."""
+        pair = {self.hosts[name].address, self.hosts[other].address}
+        self.cuts.add(frozenset(pair))
+
+    def call_later(self, delay_s, call):
+        self.delays.append(delay_s)
+        call()
+
+    def run(self, half_seconds):
+        """Let every host send twice per half second, and deliver the messages."""
+        for _ in range(2 * half_seconds):
+            self.clock.advance_ms(250)
+            for host in self.hosts.values():
+                if host.address not in self.down:
+                    now = self.clock.now()
+                    if host.peers.is_full_mesh(now):
+                        host.peers.send_to_all_hosts(now)
+                    else:
+                        host.peers.send_to_relay(now)
+            self.deliver(self.down)
+
+    def deliver(self, down=()):
+        while self.queue:
+            source, target, data = self.queue.pop(0)
+            self.sent += 1
+            if source in down or target in down or {source, target} in self.cuts:
+                continue
+            for host in self.hosts.values():
+                if host.address == target:
+                    host.peers.datagram_received(data, (source, PORT))
+
+
+class Host:
+    def __init__(self, network, name, centre, address):
+        self.address = address
+        self.centre = centre
+        self.relay_mbps = 200 if name in network.fast_hosts else 10
+        host = HostId(name)
+        self.members = Members(host)
+        self.usage = UsageCounter(5.0)
+        self.work_meter = WorkMeter()
+        fleet, quotas = Fleet(), Quotas()
+        self.replicas = {Topic.OPERATOR: Replica(), Topic.UPSTREAMS: Replica()}
+        replicas = self.replicas
+        self.peer_sync = PeerSync(
+            host,
+            centre,
+            1,
+            self.members,
+            fleet,
+            quotas,
+            self.usage,
+            Rollouts(CanaryPolicy()),
+            CrashTracker(),
+            self.work_meter,
+            replicas,
+            self.relay_mbps,
+        )
+        self.quota_admission = QuotaAdmission(
+            quotas,
+            QuotaKeeper(quotas),
+            network.clock,
+            lambda now: self.peers.find_keeper(now),
+            lambda request, address: self.peers.send_message(request, address),
+        )
+        own = Member(host, (address, PORT), centre, 1, None, 0, self.relay_mbps)
+        fetcher = ReplicaFetcher(
+            replicas, network.clock, lambda pages: None, lambda topic, now: True
+        )
+        self.peers = PeerProtocol(
+            own,
+            self.peer_sync,
+            self.members,
+            fleet,
+            fetcher,
+            self.quota_admission,
+            9000,
+            network.clock,
+            random.Random(name),
+            network.call_later,
+        )
+        self.fetch_count = 0
+        fetcher.fetch = self.note_fetch
+        self.peers.connection_made(FakeTransport(network, address))
+
+    def note_fetch(self, address):
+        self.fetch_count += 1
+
+
+def list_candidates(network):
+    now = network.clock.now()
+    return [
+        name
+        for name, host in network.hosts.items()
+        if host.address not in network.down and host.peers.is_candidate(now)
+    ]
+
+
+def make_holder(network):
+    """Make the only candidate the holder of the duties and return its name."""
+    (holder,) = list_candidates(network)
+    network.hosts[holder].peer_sync.held_fencing_token = 9
+    return holder
