Take relays, candidates and need only from hosts that can know them

Cause, from a logged start at 195 hosts: heartbeats that hosts send to all while they know few, and those with counts for the holder, made other hosts their relays, also across data centres; hosts that had been relays for a moment became candidates, 12 at once, each because it no longer heard the others. Heartbeats for the holder say so, totals of another data centre are ignored, only a relay that has settled becomes a candidate, each new candidate is waited for once, and a change of the holder is told at once. No worker is returned while the work of most hosts is unknown. The simulated network of the tests now asks for candidates at every step, as the program does; no assertion changed. Ruled out: a longer wait for candidates, which leaves the duties without a holder after an ordinary loss. After: libs/gateway passes.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -269,6 +269,7 @@
                 self._list_services,
                 ScalingPolicy(),
                 lambda now: self._peer_protocol.is_full_mesh(now),
+                lambda now: self._peer_protocol.measure_coverage(now),
             )
             tasks.append(self._scaling)
         # A restarted process joins as another member, so it never uses the fencing
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -49,6 +49,9 @@
         Rate in Mbit/s at which the sender can relay; see `compute_relay_mbps`.
     eligibility : int
         Whether the sender could hold the duties; see `DutyEligibility`.
+    is_for_holder : bool
+        Whether it is sent to the holder of the duties, which need not be the sender's
+        relay.
     """
 
     format: int
@@ -69,6 +72,7 @@
     withdrawn: list[tuple[str, int]] = []
     relay_mbps: int = 0
     eligibility: int = 1
+    is_for_holder: bool = False
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -118,6 +118,8 @@
         self._ticks = 0
         # For each upstream, prompt parts that were not sent to the other relays yet.
         self._unsent_parts: list[tuple[str, list[tuple[int, int]]]] = []
+        # Holder in the last sums that were sent to the other relays.
+        self._sent_holder: tuple[int, str] | None = None
         self._is_relay = False
         self._candidacy = Candidacy(clock.now())
 
@@ -183,20 +185,25 @@
                 member.host: member.eligibility for member in present
             }
         else:
-            is_able = self._candidacy.is_settled_relay(now)
+            # A host that is no relay now does not hear the other relays, so it may stay
+            # a candidate but not become one.
+            is_able = self._candidacy.is_settled_relay(now) and (
+                self._is_relay or self._peer_sync.is_candidate
+            )
             eligibility_by_host = self._aggregator.list_eligibility(now)
         own = self._own.host
         able = [own, *(host for host, state in eligibility_by_host.items() if state)]
         ranked = rank_relays(able, self._find_relay_mbps)
+        candidates = {
+            host
+            for host, state in eligibility_by_host.items()
+            if state == DutyEligibility.CANDIDATE
+        }
         # Other hosts that are candidates already are ranked first.
-        ranked.sort(
-            key=lambda host: (
-                eligibility_by_host.get(host, 0) != DutyEligibility.CANDIDATE
-            )
-        )
+        ranked.sort(key=lambda host: host not in candidates)
         is_held = self._find_other_holder(now) is not None
         self._peer_sync.is_candidate = self._candidacy.decide(
-            is_held, is_able, ranked.index(own), now
+            is_held, is_able, ranked.index(own), candidates, now
         )
         return self._peer_sync.is_candidate
 
@@ -235,6 +242,19 @@
             return max(self._last_total[0].host_count, 1)
         return self._members.count_known()
 
+    def measure_coverage(self, now: Instant) -> float:
+        """Return the fraction of the known hosts whose work this host knows of."""
+        if self.is_full_mesh(now):
+            heard = 1 + len(self._members.list_present(now))
+        elif (
+            self._last_total is None
+            or now.mono_ms - self._last_total[1] > SUMMARY_MAX_AGE_MS
+        ):
+            return 0.0
+        else:
+            heard = self._last_total[0].host_count
+        return min(heard / self._members.count_known(), 1.0)
+
     def find_keeper(self, now: Instant) -> str | None:
         """Return the address of the host that decides on quotas for all hosts.
 
@@ -333,7 +353,10 @@
             fleet_hash, end_offsets, now, self._peer_sync.find_eligibility()
         )
         self._unsent_parts = (self._unsent_parts + own.parts)[-MAX_SUMMARY_PROMPTS:]
-        if self._ticks % EXCHANGE_EVERY_TICKS == 0:
+        # The other hosts wait for the duties as long as they know of a holder.
+        is_holder_changed = own.holder != self._sent_holder
+        if is_holder_changed or self._ticks % EXCHANGE_EVERY_TICKS == 0:
+            self._sent_holder = own.holder
             self._send_to_relays(own, now)
         total = self._aggregator.summarize_all(own, now)
         replacement = "" if relay == self._own.host else str(relay)
@@ -415,7 +438,11 @@
             return
         holder = self._last_total[0].holder
         if holder is not None and holder[1] != self._own.address[0]:
-            data = self._encode(msgspec.structs.replace(heartbeat, loads=[], parts=[]))
+            data = self._encode(
+                msgspec.structs.replace(
+                    heartbeat, loads=[], parts=[], is_for_holder=True
+                )
+            )
             self._send(data, holder[1])
 
     def send_last_counts(self, now: Instant) -> None:
@@ -450,8 +477,12 @@
         member = self._peer_sync.apply_counts(heartbeat, sender_address, now)
         if member is not None and self._peer_sync.held_fencing_token:
             self._quota_admission.charge_local_admissions(heartbeat, now)
-        # A heartbeat with usage was sent to the holder of the duties, not to a relay.
-        if member is not None and not heartbeat.usage and not heartbeat.taken:
+        # Hosts of other data centres send heartbeats to all while they know only a few.
+        is_for_relay = (
+            not heartbeat.is_for_holder
+            and heartbeat.data_centre == self._own.data_centre
+        )
+        if member is not None and is_for_relay:
             self._used_as_relay_ms = now.mono_ms
             self._aggregator.add_heartbeat(heartbeat, address, now)
 
@@ -459,6 +490,8 @@
         self, summary: RelaySummary, address: str, now: Instant
     ) -> None:
         if summary.is_total:
+            if summary.data_centre != self._own.data_centre:
+                return
             self._relay_selector.record_heard(HostId(summary.relay), now)
             if summary.replacement:
                 # This host may have excluded it while it did not run.
--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
@@ -35,6 +35,9 @@
 # Workers whose registrations are read within this time after the first one count as the
 # initial workers. Those that are read later may have been ordered by the gateway.
 INITIAL_COUNT_S = 3.0
+# No worker is returned while the work of fewer of the known hosts than this fraction is
+# part of the measured work: the others may still serve their callers.
+MIN_COVERAGE = 0.75
 # The highest need within this window counts, so that workers are not returned in a
 # short pause and needed again seconds later.
 PEAK_WINDOW_S = 12.0
@@ -57,6 +60,8 @@
         Time at which the first registered worker was seen.
     initial_workers : int
         Number of registered workers before any was ordered.
+    last_need : float or None
+        Needed number of workers at the last step that knew the work of enough hosts.
     """
 
     ordered: dict[WorkerPool, tuple[int, Instant]] = attrs.Factory(dict)
@@ -64,6 +69,7 @@
     recent_needs: list[tuple[Instant, float]] = attrs.Factory(list)
     first_at: Instant | None = None
     initial_workers: int = 0
+    last_need: float | None = None
 
 
 class ScalingTask:
@@ -74,6 +80,8 @@
     is_full_mesh : callable
         Returns whether all hosts report their requests to each other directly, without
         relays.
+    measure_coverage : callable
+        Returns the fraction of the known hosts whose work is part of the measured work.
     """
 
     def __init__(
@@ -85,6 +93,7 @@
         list_services: Callable[[], list[Service]],
         policy: ScalingPolicy,
         is_full_mesh: Callable[[Instant], bool],
+        measure_coverage: Callable[[Instant], float],
     ) -> None:
         self._fleet = fleet
         self._work_meter = work_meter
@@ -93,6 +102,7 @@
         self._list_services = list_services
         self._policy = policy
         self._is_full_mesh = is_full_mesh
+        self._measure_coverage = measure_coverage
         self._orders: dict[ServiceName, _ServiceOrders] = {}
 
     def note_initial_workers(self, now: Instant) -> None:
@@ -177,6 +187,12 @@
             # with its spare data centre and spare workers.
             min_busy = orders.initial_workers * (centres - 1) / centres
             needed = max(needed, min_busy - self._policy.spare_workers)
+        if self._measure_coverage(now) >= MIN_COVERAGE:
+            orders.last_need = needed
+        elif orders.last_need is None:
+            return None
+        else:
+            needed = max(needed, orders.last_need)
         return ScalingNeed(
             service=service.name,
             busy_workers=needed,
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -95,6 +95,8 @@
                         host.peers.send_to_all_hosts(now)
                     else:
                         host.peers.send_to_relay(now)
+                    # The loop that renews the lease asks for it all the time.
+                    host.peers.is_candidate(now)
             self.deliver(self.down)
 
     def deliver(self, down=()):
--- a/libs/gateway/tests/test_relay_merging.py
+++ b/libs/gateway/tests/test_relay_merging.py
@@ -84,10 +84,33 @@
         assert host.peers.count_hosts(now) == expected
 
 
+def test_counts_for_the_holder_do_not_make_it_a_relay_of_their_senders():
+    """Such hosts were part of the sums of two relays."""
+    network = Network(4, 10, {f"h{centre}-{n}" for centre in range(4) for n in (0, 1)})
+    network.run(10)
+    holder = make_holder(network)
+    network.run(10)
+    # Another host of the same data centre goes on as the holder.
+    other = next(
+        name
+        for name, host in network.hosts.items()
+        if name != holder and host.centre == network.hosts[holder].centre
+    )
+    network.hosts[holder].peer_sync.held_fencing_token = 0
+    network.hosts[other].peer_sync.held_fencing_token = 10
+    network.run(10)
+    assert count_hosts(network) == {40}
+    for centre in {host.centre for host in network.hosts.values()}:
+        assert len(list_relays(network, centre)) == 1
+
+
 def test_the_duties_stay_with_one_host_while_data_centres_unite():
     network = make_divided_network(6, 33, 3)
-    network.run(SETTLE_HALF_SECONDS + 12)
-    holder = make_holder(network)
+    while not list_candidates(network):
+        network.run(1)
+    holder = list_candidates(network)[0]
+    network.hosts[holder].peer_sync.held_fencing_token = 9
+    network.run(SETTLE_HALF_SECONDS)
     for _ in range(40):
         network.run(1)
         assert list_candidates(network) in ([holder], [])
@@ -130,6 +153,29 @@
     assert count_hosts(network) == {36}
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_hosts_that_learn_of_each_other_by_turns_agree(seed):
+    """While few hosts are known, each sends its heartbeats to all of them."""
+    rng = random.Random(seed)
+    network = Network(
+        6, 12, {f"h{centre}-{n}" for centre in range(6) for n in range(3)}
+    )
+    known = {name: dict(host.members._members) for name, host in network.hosts.items()}
+    for host in network.hosts.values():
+        host.members._members.clear()
+    for _ in range(6):
+        for name, host in network.hosts.items():
+            learned = rng.sample(sorted(known[name]), rng.randrange(0, 20))
+            host.members._members.update({h: known[name][h] for h in learned})
+        network.run(1)
+    network.register_all()
+    network.run(SETTLE_HALF_SECONDS)
+    assert count_hosts(network) == {72}
+    for centre in {host.centre for host in network.hosts.values()}:
+        assert len(list_relays(network, centre)) == 1
+    assert len(list_candidates(network)) <= 1
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_hosts_agree_after_random_failures(seed):
     """Relays fail, return and are cut off by turns; afterwards the totals are whole."""
@@ -150,3 +196,16 @@
     assert count_hosts(network) == {len(up)}
     for centre in {host.centre for host in up}:
         assert len(list_relays(network, centre)) == 1
+
+
+def test_coverage_is_the_fraction_of_the_known_hosts_in_the_total():
+    network = Network(4, 10)
+    network.run(10)
+    now = network.clock.now()
+    assert {h.peers.measure_coverage(now) for h in network.hosts.values()} == {1.0}
+    network.fail(*(n for n, h in network.hosts.items() if h.centre != "dc0"))
+    network.run(8)
+    now = network.clock.now()
+    assert network.hosts["h0-1"].peers.measure_coverage(now) == 0.25
+    network.fail(*network.hosts)
+    assert network.hosts["h0-1"].peers.measure_coverage(now.plus_ms(4_000)) == 0.0
--- a/libs/gateway/tests/test_scaling.py
+++ b/libs/gateway/tests/test_scaling.py
@@ -54,14 +54,17 @@
         self.cloud = FakeCloud()
         self.fleet = Fleet()
         self.lease = Lease(3_000)
+        self.coverage = 1.0
+        self.work_meter = WorkMeter()
         self.task = ScalingTask(
             self.fleet,
-            WorkMeter(),
+            self.work_meter,
             self.cloud,
             self.lease,
             lambda: [Service(name=POOL, scaling=SCALING)],
             ScalingPolicy(),
             lambda now: True,
+            lambda now: self.coverage,
         )
 
     def register(self, centre, count, now, *, reclaimable=False):
@@ -118,3 +121,31 @@
     host = Host()
     host.task.note_initial_workers(at(0))
     assert host.order(at(4_000)) == 0
+
+
+def make_host_with_measured_work(now_ms):
+    host = Host()
+    for centre in CENTRES:
+        host.register(centre, 10, at(0))
+    host.task.note_initial_workers(at(0))
+    for ms in range(0, now_ms, 100):
+        host.work_meter.add(POOL, 450.0, at(ms))
+    return host
+
+
+def test_no_worker_is_returned_while_the_work_of_most_hosts_is_unknown():
+    # Relays that did not hear each other saw the work of a fifth of 195 hosts, and the
+    # holder of the duties gave back four fifths of the workers.
+    host = make_host_with_measured_work(20_000)
+    ordered = host.order(at(20_000))
+    assert ordered >= 10
+    host.coverage = 0.2
+    assert host.order(at(40_000)) >= ordered
+    host.coverage = 1.0
+    assert host.order(at(60_000)) < ordered
+
+
+def test_a_new_holder_orders_nothing_before_it_knows_the_work_of_most_hosts():
+    host = make_host_with_measured_work(20_000)
+    host.coverage = 0.2
+    assert host.order(at(20_000)) == 0
