End calls to the cloud with the lease of the host that makes them

Cause: a task of the holder of the duties checked the lease with the time at which its step began, and a call may take 1.2 s, so orders and reports to a slow cloud went on after another host could have begun to act. Each call now checks the lease when it is made and is ended with it; ending it resets the connection, so nothing waits in it until a cut heals. Ruled out: a longer wait of the new holder, which leaves every change without a holder for longer.

--- a/libs/gateway/src/waxwingbarrow/gateway/_duties.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_duties.py
@@ -109,6 +109,12 @@
         """Stop acting with `token`, because another host used a higher one."""
         self._refused_token = max(self._refused_token, token)
 
+    def measure_left_ms(self, token: int, now: Instant) -> int:
+        """Return for how long this host may act with a token; 0 if it may not."""
+        if self.find_token(now) != token:
+            return 0
+        return self._valid_until_ms - now.mono_ms
+
     def find_token(self, now: Instant) -> int | None:
         """Return the fencing token while this host may act, otherwise None."""
         if self._held_since is None or now.mono_ms >= self._valid_until_ms:
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -28,6 +28,7 @@
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._follower import Follower, StoreHealth
 from waxwingbarrow.gateway._internal_endpoints import InternalEndpoints
+from waxwingbarrow.gateway._leased_cloud import LeasedCloud
 from waxwingbarrow.gateway._logs import BoundedHandler
 from waxwingbarrow.gateway._members import Member, Members
 from waxwingbarrow.gateway._metrics import Metrics
@@ -246,6 +247,8 @@
         ttl_ms = max(MEMBER_TTL_MS, settings.store.min_ttl_ms)
         lease = Lease(bounds.lease_ms, ttl_ms)
         tasks: list[DutyTask] = [RolloutTask(self._rollouts, store, codec, lease)]
+        if cloud is not None:
+            cloud = LeasedCloud(cloud, lease, clock)
         cloud_duties = settings.cloud.duties if settings.cloud is not None else ()
         if cloud is not None and "usage" in cloud_duties:
             tasks.append(
--- a/libs/gateway/src/waxwingbarrow/gateway/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_ports.py
@@ -259,7 +259,20 @@
     reason: str
 
 
-CloudFailure = CloudRefused | CloudUnreachable
+@attrs.frozen
+class LeaseEnded(Failure):
+    """The call was not made, or was ended, because this host lost its lease.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether the call may have been carried out.
+    """
+
+    sent: bool
+
+
+CloudFailure = CloudRefused | CloudUnreachable | LeaseEnded
 
 
 class Cloud(Protocol):
--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
@@ -19,7 +19,12 @@
 from waxwingbarrow.gateway._duties import Lease
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._model import Service
-from waxwingbarrow.gateway._ports import Cloud, CloudRefused, describe_failure
+from waxwingbarrow.gateway._ports import (
+    Cloud,
+    CloudRefused,
+    LeaseEnded,
+    describe_failure,
+)
 from waxwingbarrow.gateway._work_meter import WorkMeter
 
 logger = logging.getLogger("waxwingbarrow.gateway.scaling")
@@ -219,7 +224,8 @@
         outcome = "accepted"
         if isinstance(sent, Err):
             outcome = describe_failure(sent.err_value)
-            orders.refused_at[pool] = now
+            if not isinstance(sent.err_value, LeaseEnded):
+                orders.refused_at[pool] = now
             match sent.err_value:
                 case CloudRefused(fenced=True):
                     self._lease.note_refusal(token)
@@ -241,4 +247,5 @@
                 "outcome": outcome,
             },
         )
-        return self._lease.find_token(now) == token
+        is_ended = isinstance(sent.err(), LeaseEnded)
+        return not is_ended and self._lease.find_token(now) == token
