--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err
 
-from waxwingbarrow.core import Clock, DataCentre, HostId, Instant
+from waxwingbarrow.core import Clock, HostId, Instant
 from waxwingbarrow.gateway._candidates import Candidacy, DutyEligibility
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._fragments import Fragmenter, Reassembler
@@ -27,6 +27,7 @@
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._ports import Topic, Unreadable
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
+from waxwingbarrow.gateway._relay_directory import RelayDirectory
 from waxwingbarrow.gateway._relays import (
     MAX_SUMMARY_PROMPTS,
     RELAY_MIN_HOSTS,
@@ -50,9 +51,6 @@
 # Fraction of the interval over which a relay spreads its messages: slow links drop
 # datagrams if those for all hosts of a data centre are sent in one burst.
 SEND_SPREAD_RATIO = 0.7
-# Hosts preferred to a relay to which it sends its sums at each exchange, so that it
-# learns of those that run.
-MAX_PROBED_HOSTS = 3
 # Counts for the holder of the duties are cumulative, so they need not be sent often.
 HOLDER_EVERY_TICKS = 4
 # Time within which all hosts have learned of a new holder and sent it their counts.
@@ -107,7 +105,8 @@
         self._fragmenter = Fragmenter()
         self._reassembler = Reassembler()
         self._transport: asyncio.DatagramTransport | None = None
-        self._relay_selector = RelaySelector(own.host, self._find_relay_mbps)
+        self._directory = RelayDirectory(own, members)
+        self._relay_selector = RelaySelector(own.host, self._directory.find_relay_mbps)
         self._aggregator = RelayAggregator(own.host, own.data_centre, own.started_ms)
         # Monotonic time at which another host last used this one as its relay.
         self._used_as_relay_ms: int | None = None
@@ -193,7 +192,7 @@
             eligibility_by_host = self._aggregator.list_eligibility(now)
         own = self._own.host
         able = [own, *(host for host, state in eligibility_by_host.items() if state)]
-        ranked = rank_relays(able, self._find_relay_mbps)
+        ranked = rank_relays(able, self._directory.find_relay_mbps)
         candidates = {
             host
             for host, state in eligibility_by_host.items()
@@ -383,55 +382,14 @@
         data = self._encode(msgspec.structs.replace(own, parts=parts))
         known = self._aggregator.list_relay_addresses(now)
         addresses = {address for listed in known.values() for address in listed}
+        turn = self._ticks // EXCHANGE_EVERY_TICKS
         for centre in self._members.list_data_centres():
             if centre != self._own.data_centre and centre not in known:
-                addresses |= self._guess_relay(centre)
-        addresses |= self._list_preferred_hosts()
+                addresses |= self._directory.guess_relay(centre, turn)
+        addresses |= self._directory.list_preferred(turn)
         for address in sorted(addresses - {self._own.address[0]}):
             self._send(data, address)
 
-    def _list_preferred_hosts(self) -> set[str]:
-        """Return addresses of hosts preferred to this one as relay.
-
-        The first one in rank is always among them; the others follow in turn.
-        """
-        hosts = {*self._members.list_hosts_in(self._own.data_centre), self._own.host}
-        ranked = rank_relays(hosts, self._find_relay_mbps)
-        preferred = ranked[: ranked.index(self._own.host)]
-        if not preferred:
-            return set()
-        number = self._ticks // EXCHANGE_EVERY_TICKS * (MAX_PROBED_HOSTS - 1)
-        probed = [preferred[0]]
-        probed += [
-            preferred[(number + step) % len(preferred)]
-            for step in range(MAX_PROBED_HOSTS - 1)
-        ]
-        members = [self._members.find(host) for host in probed]
-        return {member.address[0] for member in members if member is not None}
-
-    def _find_relay_mbps(self, host: HostId) -> int:
-        if host == self._own.host:
-            return self._own.relay_mbps
-        member = self._members.find(host)
-        return member.relay_mbps if member is not None else 0
-
-    def _guess_relay(self, centre: DataCentre) -> set[str]:
-        """Return the address to try in a data centre whose relay is not known.
-
-        The first host in rank is the relay as long as it runs, so it is tried every
-        other time. The other hosts forward summaries to their relay, so they are tried
-        in turn in between.
-        """
-        hosts = self._members.list_hosts_in(centre)
-        ranked = rank_relays(hosts, self._find_relay_mbps)
-        if not ranked:
-            return set()
-        number = self._ticks // EXCHANGE_EVERY_TICKS
-        is_first = number % 2 == 0
-        host = ranked[0] if is_first else ranked[number // 2 % len(ranked)]
-        member = self._members.find(host)
-        return {member.address[0]} if member is not None else set()
-
     def _send_to_holder(self, heartbeat: Heartbeat) -> None:
         """Send a heartbeat to the holder of the duties every `HOLDER_EVERY_TICKS`."""
         if self._last_total is None or self._ticks % HOLDER_EVERY_TICKS:
@@ -524,7 +482,7 @@
 
     def _settle_relay(self, other: HostId, address: str, now: Instant) -> None:
         """Let the preferred one of two relays of this data centre replace the other."""
-        ranked = rank_relays([self._own.host, other], self._find_relay_mbps)
+        ranked = rank_relays([self._own.host, other], self._directory.find_relay_mbps)
         if ranked[0] == other:
             self._relay_selector.record_heard(other, now)
         elif self._last_total is not None:
