Do not send a message that no peer can put together

Cause: of a message that needs more than 64 datagrams the first 64 were sent, which peers reject, and more than 255 raised an error that ends the loop of the heartbeats. A message that decompresses to more than its limit was taken as whole. Such a message is now left out with a log line, or is an error. Ruled out: more datagrams, as links drop bursts. Before: 3 new cases fail. After: they pass.

--- a/libs/gateway/src/waxwingbarrow/gateway/_fragments.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fragments.py
@@ -1,5 +1,6 @@
 """Fragmentation of messages that do not fit into one datagram."""
 
+import logging
 import struct
 import zlib
 from collections import OrderedDict
@@ -9,6 +10,8 @@
 
 from waxwingbarrow.gateway._ports import Unreadable
 
+logger = logging.getLogger("waxwingbarrow.gateway.peers")
+
 # Maximum payload of a datagram after its header. Larger datagrams may be fragmented by
 # IP, and some links drop fragmented datagrams.
 MAX_FRAGMENT_BYTES = 1_200
@@ -39,7 +42,7 @@
         self._message_number = 0
 
     def split(self, message: bytes) -> list[bytes]:
-        """Return the datagrams of a message.
+        """Return the datagrams of a message; none if it needs too many.
 
         Examples
         --------
@@ -55,10 +58,16 @@
             data[start : start + MAX_FRAGMENT_BYTES]
             for start in range(0, max(len(data), 1), MAX_FRAGMENT_BYTES)
         ]
+        if len(pieces) > MAX_FRAGMENTS or len(message) > MAX_MESSAGE_BYTES:
+            logger.error(
+                "message to a peer is too large and was not sent",
+                extra={"size_bytes": len(message), "fragments": len(pieces)},
+            )
+            return []
         return [
             HEADER.pack(self._message_number, position, len(pieces), is_compressed)
             + piece
-            for position, piece in enumerate(pieces[:MAX_FRAGMENTS])
+            for position, piece in enumerate(pieces)
         ]
 
 
@@ -100,4 +109,6 @@
             message = decompressor.decompress(piece, MAX_MESSAGE_BYTES)
         except zlib.error as error:
             return Err(Unreadable(str(error)))
+        if decompressor.unconsumed_tail:
+            return Err(Unreadable(f"message has more than {MAX_MESSAGE_BYTES} bytes"))
         return Ok(message)
--- a/libs/gateway/tests/test_fragments.py
+++ b/libs/gateway/tests/test_fragments.py
@@ -6,6 +6,7 @@
 
 import os
 import random
+import zlib
 
 import pytest
 
@@ -56,3 +57,15 @@
 )
 def test_a_datagram_that_is_not_a_fragment_is_an_error(datagram):
     assert Reassembler().join(PEER, datagram).is_err()
+
+
+@pytest.mark.parametrize("size", [64 * 1_200 + 1_000, 300 * 1_200])
+def test_a_message_that_needs_too_many_datagrams_is_not_sent(size):
+    """Guards against an error that ends the loop which sends the heartbeats."""
+    assert Fragmenter().split(os.urandom(size)) == []
+
+
+def test_a_message_that_decompresses_to_more_than_the_limit_is_an_error():
+    """Guards against a cut message that is taken for a whole one."""
+    datagram = HEADER.pack(1, 0, 1, True) + zlib.compress(b"a" * 400_000)
+    assert Reassembler().join(PEER, datagram).is_err()
