Ignore the time of requests without tokens to generate

Cause: a request with run_tokens 0 that used tokens divided by zero when it ended, so its slot was freed but its caller got an error. Nothing else was considered. Before: the new case raises. After: libs/limits passes.

--- a/libs/limits/src/waxwingbarrow/limits/_admission.py
+++ b/libs/limits/src/waxwingbarrow/limits/_admission.py
@@ -253,8 +253,8 @@
             account = self._accounts.get(admission.request.account)
             if account is not None:
                 account.tokens.adjust_level(unused_tokens, now)
-            if tokens_used > 0:
-                request = admission.request
+            request = admission.request
+            if tokens_used > 0 and request.run_tokens > 0:
                 run_tokens = tokens_used * request.run_tokens / max(request.tokens, 1)
                 ms_per_token = (now.mono_ms - started.mono_ms) / run_tokens
                 self._ms_per_token += TOKEN_TIME_WEIGHT * (
--- a/libs/limits/tests/test_admission.py
+++ b/libs/limits/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Guards against admitted requests that miss their deadline, and wrong refusals."""
 
+import attrs
 import pytest
 from result import Err, Ok
 
@@ -206,3 +207,13 @@
     # The request ran at the assumed 1 ms per token, so the estimate does not change.
     controller.finish(admission, 9_000, at(200))
     assert controller.estimate(make_request(), at(200)).run_ms == pytest.approx(100)
+
+
+def test_a_request_without_run_time_does_not_change_the_time_per_token():
+    """Guards against a division by zero when a request has no tokens to generate."""
+    controller = make_controller()
+    request = attrs.evolve(make_request(), run_tokens=0)
+    before = controller.estimate(make_request(), at(0))
+    admission = controller.admit(request, at(0)).ok_value
+    controller.finish(admission, 100, at(5_000))
+    assert controller.estimate(make_request(), at(5_000)) == before
