Replace a long poll that was waiting during an outage of the store

When another call shows that the store answers again, the long poll is sent again. Ruled out: shorter long polls, which cost several times the calls. Before: the new case fails. After: it passes.

--- a/libs/gateway/src/waxwingbarrow/gateway/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_follower.py
@@ -49,6 +49,7 @@
         self._unreachable_since: Instant | None = None
         self.failed_at: Instant | None = None
         self.recovered_at: Instant | None = None
+        self._regained = asyncio.Event()
 
     @property
     def is_unreachable(self) -> bool:
@@ -65,6 +66,12 @@
             )
             self._unreachable_since = None
             self.recovered_at = now
+            self._regained.set()
+            self._regained = asyncio.Event()
+
+    async def wait_until_regained(self) -> None:
+        """Wait for the next call that is answered after a failed one."""
+        await self._regained.wait()
 
     def record_failure(self, topic: str, failure: StoreFailure) -> None:
         """Record that a call failed."""
@@ -125,8 +132,24 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def follow_operator(self) -> None:
-        """Follow the operator's topic with long polls."""
-        await self.follow(Topic.OPERATOR, OPERATOR_WAIT_MS, MIN_READ_INTERVAL_S)
+        """Follow the operator's topic with long polls.
+
+        A long poll that was waiting during an outage may never be answered, so another
+        one replaces it when the store answers other calls again.
+        """
+        while True:
+            poll = asyncio.ensure_future(self.read(Topic.OPERATOR, OPERATOR_WAIT_MS))
+            regained = asyncio.ensure_future(self._store_health.wait_until_regained())
+            try:
+                await asyncio.wait({poll, regained}, return_when="FIRST_COMPLETED")
+                if not poll.done():
+                    logger.info("long poll restarted, as the store was regained")
+                    continue
+                interval_s = MIN_READ_INTERVAL_S if poll.result() else RETRY_INTERVAL_S
+            finally:
+                poll.cancel()
+                regained.cancel()
+            await asyncio.sleep(interval_s)
 
     async def follow_upstreams(self) -> None:
         """Follow the upstreams' registrations, if this host is to read them.
--- /dev/null
+++ b/libs/gateway/tests/test_follower.py
@@ -0,0 +1,95 @@
+"""Guards against hosts that stay behind after an outage of the store."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+from result import Err, Ok
+
+from waxwingbarrow.core import SystemClock
+from waxwingbarrow.gateway._follower import Follower, StoreHealth
+from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord, StoreUnreachable, Topic
+from waxwingbarrow.gateway._replica import Replica
+
+# A version must be in force within 2 s; an unanswered long poll lasts for 11 s.
+CONFIG_BOUND_S = 2.0
+
+
+@attrs.define
+class SilentStore:
+    """Store that goes silent: calls that wait during an outage are never answered."""
+
+    is_down: bool = False
+    end: int = 1
+    polls: int = 0
+    waiting: int = 0
+    is_loaded: bool = False
+
+    async def read_newest(self, topic):
+        return Ok(KeyedPage((), self.end))
+
+    async def read_keyed(self, topic, offset, wait_ms):
+        if topic != Topic.OPERATOR:
+            await asyncio.sleep(0.01)
+            if self.is_down:
+                return Err(StoreUnreachable("timeout"))
+            return Ok(KeyedPage((), offset))
+        self.polls += 1
+        self.waiting += 1
+        try:
+            for _ in range(wait_ms // 10):
+                await asyncio.sleep(0.01)
+                if self.is_down:
+                    await asyncio.sleep(11)
+                if self.end > offset:
+                    record = KeyedRecord(self.end - 1, "config", b"new")
+                    return Ok(KeyedPage((record,), self.end))
+            return Ok(KeyedPage((), offset))
+        finally:
+            self.waiting -= 1
+
+
+@pytest.fixture
+async def follower():
+    store = SilentStore()
+    clock = SystemClock()
+    replicas = {topic: Replica() for topic in (Topic.OPERATOR, Topic.UPSTREAMS)}
+    changes = []
+    health = StoreHealth(clock)
+    follower = Follower(
+        store,
+        replicas,
+        health,
+        clock,
+        lambda topic, change: changes.append((topic, change)),
+        lambda: True,
+    )
+    tasks = [
+        asyncio.create_task(follower.follow_operator()),
+        asyncio.create_task(follower.follow(Topic.UPSTREAMS, 0, 0.02)),
+    ]
+    yield store, replicas
+    for task in tasks:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    assert store.waiting == 0
+
+
+async def test_a_version_published_after_an_outage_is_read_at_once(follower):
+    store, replicas = follower
+    await asyncio.sleep(0.2)
+    store.is_down = True
+    await asyncio.sleep(0.5)
+    store.is_down = False
+    store.end = 2
+    async with asyncio.timeout(CONFIG_BOUND_S):
+        while replicas[Topic.OPERATOR].end < 2:
+            await asyncio.sleep(0.01)
+
+
+async def test_a_long_poll_is_not_repeated_while_the_store_answers(follower):
+    store, _ = follower
+    await asyncio.sleep(1.0)
+    assert store.polls == 1
