Reset connections of requests that were given up

During an exchange a connection is now closed with SO_LINGER 0, which drops what has not been sent. Ruled out: a lease that outlives cuts, as cuts last longer than any wait for a new holder should. The bounds on responses move to a module of their own.

--- a/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from waxwingbarrow.gateway._channels import BodyBudget, Channel, ConnectError
+from waxwingbarrow.gateway._channels import Channel, ConnectError
+from waxwingbarrow.gateway._response_bounds import BodyBudget
 
 CONNECT_TIMEOUT_S = 0.6
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channels.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
@@ -10,6 +11,14 @@
 import httptools
 
 from waxwingbarrow.gateway._model import Headers, ResponseHead
+from waxwingbarrow.gateway._response_bounds import (
+    MAX_BODY_BYTES,
+    MAX_HEADERS,
+    MAX_SKIPPED_RESPONSES,
+    BodyBudget,
+    OversizedError,
+    check_overhead,
+)
 
 # A peer that does not acknowledge data for this long counts as unreachable. Round trips
 # take a few milliseconds, and TCP retransmits lost packets after about 200 ms.
@@ -28,18 +37,8 @@
 MIN_IDLE_TIMEOUT_S = 0.5
 # Reading from the socket pauses while more of a body than this is unread.
 MAX_BUFFERED_BYTES = 524_288
-# Bytes of one exchange that are not part of the body of its response: heads, skipped
-# responses, framing of chunks and trailers.
-MAX_OVERHEAD_BYTES = 262_144
-# Framing takes several times the size of a body that arrives in chunks of a few bytes.
-OVERHEAD_PER_BODY_BYTE = 16
-MAX_HEADERS = 256
-# Informational responses and late responses to earlier requests in one exchange.
-MAX_SKIPPED_RESPONSES = 16
-# A body that is read as a whole. The largest are replicas of a configuration.
-MAX_BODY_BYTES = 16 * 1_048_576
-# Bodies of all exchanges with one peer that are read as a whole at the same time.
-MAX_POOLED_BODY_BYTES = 32 * 1_048_576
+# Value of SO_LINGER with which a close resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class ChannelError(Exception):
@@ -89,23 +88,6 @@
     skipped_responses: int = 0
 
 
-@attrs.define
-class BodyBudget:
-    """Memory for the bodies from one peer that are read as a whole.
-
-    Parameters
-    ----------
-    free_bytes : int
-        What is left of it.
-    """
-
-    free_bytes: int = MAX_POOLED_BODY_BYTES
-
-
-class _OversizedError(Exception):
-    """A response exceeds a bound; the message names the bound."""
-
-
 class Channel(asyncio.Protocol):
     """A connection that carries one request and its response at a time.
 
@@ -153,8 +135,8 @@
         exchange.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            _check_overhead(exchange)
-        except _OversizedError as error:
+            check_overhead(exchange.received_bytes, exchange.body_bytes)
+        except OversizedError as error:
             self._reject(exchange, str(error))
         except httptools.HttpParserCallbackError as error:
             self._reject(exchange, str(error.__context__ or error))
@@ -191,9 +173,9 @@
         if exchange is None or exchange.complete:
             self.reusable = False
             self._is_skipping = True
-            raise _OversizedError("bytes after the end of the response")
+            raise OversizedError("bytes after the end of the response")
         if exchange.skipped_responses > MAX_SKIPPED_RESPONSES:
-            raise _OversizedError(
+            raise OversizedError(
                 f"more than {MAX_SKIPPED_RESPONSES} responses without the expected one"
             )
 
@@ -202,7 +184,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if len(self._headers) >= MAX_HEADERS:
-            raise _OversizedError(f"more than {MAX_HEADERS} headers")
+            raise OversizedError(f"more than {MAX_HEADERS} headers")
         self._headers.append((name, value))
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._has_length = True
@@ -336,18 +318,25 @@
     def finish(self, now_s: float) -> None:
         """End the exchange; the connection becomes idle or is closed."""
         exchange = self._exchange
-        self._exchange = None
         if exchange is None or not exchange.complete or exchange.chunks:
             self.reusable = False
         self.idle_since_s = now_s
         if not self.reusable:
             self.close()
+        self._exchange = None
 
     def close(self) -> None:
-        """Close the connection; an upstream then cancels the request it runs for it."""
+        """Close the connection; an upstream then cancels the request it runs for it.
+
+        During an exchange the connection is reset: a request that a cut network holds
+        up must not arrive after it was given up.
+        """
         self.reusable = False
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.abort()
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._exchange is not None and not self._exchange.complete:
+            _discard_unsent(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     def is_fresh(self, now_s: float) -> bool:
         """Whether the connection is open and within its idle timeout."""
@@ -380,12 +369,9 @@
             self._waiter = None
 
 
-def _check_overhead(exchange: _Exchange) -> None:
-    allowed_bytes = MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * exchange.body_bytes
-    if exchange.received_bytes - exchange.body_bytes > allowed_bytes:
-        raise _OversizedError(
-            f"more than {allowed_bytes} bytes besides the body of the response"
-        )
+def _discard_unsent(sock: socket.socket) -> None:
+    """Make the close of a socket reset the connection and drop what it has not sent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
 
 
 def _set_timeouts(sock: socket.socket) -> None:
--- a/libs/gateway/tests/test_endless_responses.py
+++ b/libs/gateway/tests/test_endless_responses.py
@@ -17,16 +17,13 @@
 import pytest
 
 from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._channels import (
-    MAX_OVERHEAD_BYTES,
-    BrokenError,
-    Channel,
-)
+from waxwingbarrow.gateway._channels import BrokenError, Channel
 from waxwingbarrow.gateway._events import (
     MAX_EVENT_BYTES,
     EventSplitter,
     OversizedEventError,
 )
+from waxwingbarrow.gateway._response_bounds import MAX_OVERHEAD_BYTES
 
 MIB = 1_048_576
 # The server gives up after this much, so that a missing bound fails the test.
