Forward events that precede bytes without end, and do not resume an overrun stream

Cause, found by reading the bounds on streams again: an event that arrived in one read with bytes without end was noted but not forwarded, so a resumed stream left it out. A stream with more events than tokens was resumed after the last event that was counted, not forwarded, and another upstream, which had nothing left to send, ended it as complete. Events are now forwarded before the bound is checked, and an overrun stream is broken off for good. Ruled out: forwarding the overrun; it has no end either. Before: the overrun looks complete in the test of the whole path. The splitter's new case was not run on the old code, whose interface differs. After: both pass.

--- a/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
@@ -53,6 +53,16 @@
     reason: str
 
 
+@attrs.frozen
+class InvalidResponse:
+    """The upstream sent a response that cannot belong to the request.
+
+    The request has run, and no other upstream can continue the response.
+    """
+
+    reason: str
+
+
 @attrs.frozen
 class TimedOut:
     """The attempt reached its deadline; the request may have run."""
@@ -92,7 +102,7 @@
     memory_copy: str
 
 
-AttemptFailure = NotSent | NotRun | ConnectionLost | TimedOut
+AttemptFailure = NotSent | NotRun | ConnectionLost | InvalidResponse | TimedOut
 
 
 def compute_timeout_s(deadline: Instant, now: Instant) -> float:
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -7,6 +7,7 @@
 from waxwingbarrow.gateway._attempts import (
     AttemptFailure,
     ConnectionLost,
+    InvalidResponse,
     Moved,
     NotRun,
     NotSent,
@@ -21,11 +22,7 @@
 from waxwingbarrow.gateway._callers import Responder
 from waxwingbarrow.gateway._channels import BrokenError
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._events import (
-    EVENT_END,
-    EventSplitter,
-    OversizedEventError,
-)
+from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
 from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
 from waxwingbarrow.gateway._http_heads import get_reason_phrase
 from waxwingbarrow.gateway._metrics import Metrics
@@ -240,7 +237,7 @@
             if isinstance(outcome, ResponseStarted):
                 if outcome.head.status == 200:
                     outcome = await self._forward_stream(
-                        plan, upstream, outcome, job, splitter, responder, started
+                        plan, upstream, outcome, job, splitter, responder
                     )
                 else:
                     self._note_execution_start(plan)
@@ -265,7 +262,6 @@
         job: PlannedJob,
         splitter: EventSplitter,
         responder: Responder,
-        started: Instant,
     ) -> ResponseReceived | AttemptFailure:
         channel = response.channel
         is_complete = False
@@ -274,16 +270,12 @@
             async with asyncio.timeout(timeout_s):
                 while data := await channel.read_chunk():
                     events = splitter.feed(data)
-                    if not events:
-                        continue
-                    if job.first_event_ms is None:
-                        self._note_first_event(plan, job, started)
-                    if not responder.started:
-                        self._start_stream(response.head, responder)
-                    job.events += events.count(EVENT_END)
                     if _has_too_many_events(plan, splitter):
-                        return ConnectionLost("more events than output tokens")
-                    responder.send_chunk(events)
+                        return InvalidResponse("more events than output tokens")
+                    if events:
+                        self._forward_events(plan, response, job, events, responder)
+                    if splitter.is_oversized:
+                        return ConnectionLost("bytes without a numbered event")
             if splitter.remainder:
                 # The body is complete for HTTP, but its last event is truncated.
                 return ConnectionLost("ended inside an event")
@@ -293,7 +285,7 @@
             release(upstream, channel, response.metadata, self._clock)
             is_complete = True
             return ResponseReceived(response.head, b"")
-        except (BrokenError, OversizedEventError) as error:
+        except BrokenError as error:
             return ConnectionLost(str(error))
         except TimeoutError:
             return TimedOut()
@@ -301,17 +293,32 @@
             if not is_complete:
                 channel.close()
 
+    def _forward_events(
+        self,
+        plan: Plan,
+        response: ResponseStarted,
+        job: PlannedJob,
+        events: bytes,
+        responder: Responder,
+    ) -> None:
+        if job.first_event_ms is None:
+            self._note_first_event(plan, job)
+        if not responder.started:
+            self._start_stream(response.head, responder)
+        job.events += events.count(EVENT_END)
+        responder.send_chunk(events)
+
     def _start_stream(self, head: ResponseHead, responder: Responder) -> None:
         headers = self._codec.write_response(head)
         responder.start_stream(head.status, head.reason, headers)
 
-    def _note_first_event(self, plan: Plan, job: Job, started: Instant) -> None:
+    def _note_first_event(self, plan: Plan, job: Job) -> None:
         now = self._clock.now()
         self._note_execution_start(plan)
         job.pending_prefill_tokens = 0
         job.first_event_ms = now.mono_ms
         self._metrics.observe_first_event(
-            plan.route.name, plan.trace.account, now.mono_ms - started.mono_ms
+            plan.route.name, plan.trace.account, now.mono_ms - job.started_ms
         )
 
     # Steps shared by buffered and streaming requests
@@ -392,6 +399,10 @@
             case NotRun(status):
                 upstream.record(True, now)
                 result = f"not run ({status})"
+            case InvalidResponse(reason):
+                failed = True
+                self._fleet.record(upstream, True, now)
+                result = f"invalid ({reason})"
             case ConnectionLost(reason):
                 failed = True
                 self._fleet.record(upstream, True, now)
@@ -405,7 +416,7 @@
                 result = "expired"
         if isinstance(outcome, ResponseReceived):
             self._crash_tracker.note_completion(plan.fingerprint, name, now)
-        if isinstance(outcome, ResponseReceived | ConnectionLost | TimedOut):
+        if not isinstance(outcome, NotSent | NotRun):
             first_ms = now.mono_ms
             if job is not None and job.first_event_ms is not None:
                 first_ms = job.first_event_ms
@@ -440,6 +451,8 @@
                 # The source stopped the run when it moved, so if the target cannot
                 # continue it, the run is over.
                 return False
+            case InvalidResponse():
+                return False
             case NotSent():
                 return True
             case NotRun():
--- a/libs/gateway/src/waxwingbarrow/gateway/_events.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_events.py
@@ -6,10 +6,6 @@
 MAX_EVENT_BYTES = 262_144
 
 
-class OversizedEventError(Exception):
-    """A stream contains too many bytes without a numbered event."""
-
-
 class EventSplitter:
     """Buffers the bytes of a stream and returns the complete events.
 
@@ -40,27 +36,24 @@
         self.event_count = 0
         self._unnumbered_bytes = 0
 
-    def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the events that they complete.
+    @property
+    def is_oversized(self) -> bool:
+        """Whether over `MAX_EVENT_BYTES` arrived since the last numbered event."""
+        return self._unnumbered_bytes > MAX_EVENT_BYTES
 
-        Raises
-        ------
-        OversizedEventError
-            More than `MAX_EVENT_BYTES` arrived since the last numbered event.
-        """
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes and return the events that they complete."""
         self._unnumbered_bytes += len(data)
         if self.remainder:
             data = self.remainder + data
         end = data.rfind(EVENT_END)
         if end < 0:
-            self._check_size()
             self.remainder = data
             return b""
         end += len(EVENT_END)
         events, self.remainder = data[:end], data[end:]
         if self._note_id(events):
             self._unnumbered_bytes = len(self.remainder)
-        self._check_size()
         self.event_count += events.count(EVENT_END)
         return events
 
@@ -69,12 +62,6 @@
         self.remainder = b""
         self._unnumbered_bytes = 0
 
-    def _check_size(self) -> None:
-        if self._unnumbered_bytes > MAX_EVENT_BYTES:
-            raise OversizedEventError(
-                f"more than {MAX_EVENT_BYTES} bytes without a numbered event"
-            )
-
     def _note_id(self, events: bytes) -> bool:
         start = events.rfind(b"\n" + ID_PREFIX)
         if start >= 0:
--- a/libs/gateway/tests/test_endless_responses.py
+++ b/libs/gateway/tests/test_endless_responses.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import collections
 import contextlib
-import functools
 import socket
 import threading
 import time
@@ -21,7 +19,6 @@
 from waxwingbarrow.gateway._events import (
     MAX_EVENT_BYTES,
     EventSplitter,
-    OversizedEventError,
 )
 from waxwingbarrow.gateway._response_bounds import MAX_OVERHEAD_BYTES
 
@@ -231,11 +228,23 @@
 def test_endless_bytes_without_numbered_events_end_a_stream(block):
     splitter = EventSplitter()
     splitter.feed(b"id: 1\ndata: a\n\n")
-    feed_all = functools.partial(
-        collections.deque, map(splitter.feed, [block] * MAX_EVENT_BYTES), maxlen=0
-    )
-    with pytest.raises(OversizedEventError):
-        feed_all()
+    assert not splitter.is_oversized
+    fed_bytes = 0
+    while not splitter.is_oversized:
+        splitter.feed(block)
+        fed_bytes += len(block)
+        assert fed_bytes < 2 * MAX_EVENT_BYTES
+
+
+def test_events_before_bytes_without_end_are_returned():
+    """Guards against a gap: a stream is resumed after the last event that was noted."""
+    splitter = EventSplitter()
+    event = b"id: 7\ndata: a\n\n"
+    assert splitter.feed(event + b"x" * (MAX_EVENT_BYTES + 1)) == event
+    assert splitter.last_id == 7
+    assert splitter.is_oversized
+    splitter.discard_remainder()
+    assert not splitter.is_oversized
 
 
 def test_long_stream_of_numbered_events_is_accepted():
