Measure the answer time of appends by answers only

Cause: an append without an answer raised the expected answer time to the client's time limit, so refused appends were reported at once instead of tried again, for about ten further appends. Ruled out: a cap on the expected time, which would be a figure without a reason. Before: the new case ends with NotSent. After: it is appended; libs/platform passes.

--- a/libs/platform/src/waxwingbarrow/platform/_appender.py
+++ b/libs/platform/src/waxwingbarrow/platform/_appender.py
@@ -232,7 +232,9 @@
             pending.state = _State.SENT
         sent_at = self._clock.now()
         outcome = await self._client.append(self._stream, [p.record for p in batch])
-        self._note_answer(sent_at, self._clock.now())
+        # Without an answer the time says only how long the client waits.
+        if not isinstance(outcome.err(), Unsettled):
+            self._note_answer(sent_at, self._clock.now())
         match outcome:
             case Ok(first_offset):
                 self._backoff.reset()
