Let a new holder of the duties keep and replace workers while it hears few hosts

Cause: a new holder that knew the work of less than 75% of the hosts ordered nothing. In a deployment of three data centres the loss of one is enough for that, and workers lost with it were not replaced. It now keeps the workers that it finds and orders more if the known work needs more. Ruled out: scaling the known work up by the fraction of hosts, as hosts that ended have no work.

--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
@@ -18,7 +18,7 @@
 from waxwingbarrow.core import Instant, ServiceName
 from waxwingbarrow.gateway._duties import Lease
 from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._model import Service
+from waxwingbarrow.gateway._model import Scaling, Service
 from waxwingbarrow.gateway._ports import (
     Cloud,
     CloudRefused,
@@ -186,16 +186,14 @@
         )
         needed = max(workers for _, workers in orders.recent_needs)
         if not is_measured:
-            centres = max(len(scaling.prices), 2)
-            # While the work is not measured, the need is at least the number of busy
-            # workers for which `plan_scaling` orders the initial number of workers,
-            # with its spare data centre and spare workers.
-            min_busy = orders.initial_workers * (centres - 1) / centres
-            needed = max(needed, min_busy - self._policy.spare_workers)
+            # While the work is not measured, the initial workers are kept.
+            needed = max(needed, self._find_busy(orders.initial_workers, scaling))
         if self._measure_coverage(now) >= MIN_COVERAGE:
             orders.last_need = needed
         elif orders.last_need is None:
-            return None
+            # A new holder keeps the workers that it finds.
+            ready = sum(self._count_ready(service.name).values())
+            needed = max(needed, self._find_busy(ready, scaling))
         else:
             needed = max(needed, orders.last_need)
         return ScalingNeed(
@@ -208,6 +206,14 @@
             reclaimable_price=scaling.reclaimable_price,
         )
 
+    def _find_busy(self, workers: int, scaling: Scaling) -> float:
+        """Return the number of busy workers for which `plan_scaling` orders `workers`.
+
+        It adds a spare data centre and spare workers.
+        """
+        centres = max(len(scaling.prices), 2)
+        return workers * (centres - 1) / centres - self._policy.spare_workers
+
     async def _send(
         self,
         service: ServiceName,
