Let the quota keeper place the requests to engines in deployments with relays

Hosts learn of each other's requests after 0.5 to 1 s, when the prompts have been prefilled, and the totals carry 24 of about 100 prompts, so several long prompts met at one engine and half of the shared parts were read again. Ruled out: more frequent totals; one a quarter second is already most of the messages between hosts, and it would still be late. The keeper is asked about each request with a limit anyway. It now also counts what it placed, less what was prefilled since, and advises where to send the request. A host follows unless it must not use that upstream, and decides itself without an answer.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -317,8 +317,10 @@
         self._note_execution_start(plan)
         job.pending_prefill_tokens = 0
         job.first_event_ms = now.mono_ms
+        first_event_ms = now.mono_ms - job.started_ms
+        plan.trace.first_event_ms = first_event_ms
         self._metrics.observe_first_event(
-            plan.route.name, plan.trace.account, now.mono_ms - job.started_ms
+            plan.route.name, plan.trace.account, first_event_ms
         )
 
     # Steps shared by buffered and streaming requests
@@ -560,6 +562,8 @@
                 "running": trace.running,
                 "candidates": trace.candidates,
                 "upstreams_age_ms": trace.upstreams_age_ms,
+                "is_advised": trace.is_advised,
+                "first_event_ms": trace.first_event_ms,
             },
         )
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -1,7 +1,7 @@
 """The registered upstreams, their load and their health."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import attrs
 import xxhash
@@ -336,6 +336,38 @@
             and (version is None or upstream.entry.version == version)
         ]
 
+    def list_allowed(
+        self,
+        service: ServiceName,
+        version: VersionName | None,
+        excluded_versions: Container[str],
+        excluded_upstreams: Container[str],
+    ) -> list[Upstream]:
+        """Return the usable upstreams of a service that a request may be sent to.
+
+        Parameters
+        ----------
+        version : VersionName or None
+            Version that they must have; any if None.
+        """
+        return [
+            upstream
+            for upstream in self.list_usable(service, version)
+            if upstream.entry.version not in excluded_versions
+            and upstream.entry.upstream not in excluded_upstreams
+        ]
+
+    def is_suspect(self, upstream: Upstream, now: Instant) -> bool:
+        """Return whether an upstream may have ended or may be unreachable."""
+        state = self.health.get_state(
+            upstream.entry.upstream, upstream.incarnation, now
+        )
+        return (
+            upstream.has_lapsed
+            or state in (HealthState.EJECTED, HealthState.LEAVING)
+            or (state is HealthState.PROBING and bool(upstream.jobs))
+        )
+
     def view(
         self,
         upstreams: Iterable[Upstream],
@@ -356,12 +388,6 @@
         for upstream in upstreams:
             entry = upstream.entry
             load = upstream.measure(now)
-            state = self.health.get_state(entry.upstream, upstream.incarnation, now)
-            is_suspect = (
-                upstream.has_lapsed
-                or state in (HealthState.EJECTED, HealthState.LEAVING)
-                or (state is HealthState.PROBING and bool(upstream.jobs))
-            )
             views.append(
                 WorkerView(
                     upstream=entry.upstream,
@@ -375,7 +401,7 @@
                         self.parts.count_cached(entry.upstream, parts) if parts else 0
                     ),
                     failure_rate=upstream.compute_failure_rate(now),
-                    is_suspect=is_suspect,
+                    is_suspect=self.is_suspect(upstream, now),
                 )
             )
         return views
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -36,6 +36,7 @@
 from waxwingbarrow.gateway._moves import StreamMover
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._peers import PeerProtocol
+from waxwingbarrow.gateway._placements import PlacementAdviser
 from waxwingbarrow.gateway._planner import Planner
 from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic, describe_failure
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission, QuotaKeeper
@@ -142,6 +143,14 @@
             clock,
             lambda now: self._peer_protocol.find_keeper(now),
             lambda request, address: self._peer_protocol.send_message(request, address),
+            lambda query, now: self._placement_adviser.advise(query, now),
+        )
+        policy = PlacementPolicy(data_centre=data_centre)
+        self._placement_adviser = PlacementAdviser(
+            self._fleet,
+            policy,
+            self._rng,
+            lambda service: self._planner.find_engine(service),
         )
         self._planner = Planner(
             codec,
@@ -151,7 +160,7 @@
             self._rollouts,
             self._crash_tracker,
             self._work_meter,
-            PlacementPolicy(data_centre=data_centre),
+            policy,
             self._rng,
             lambda now: self._change_applier.measure_upstreams_age_ms(now),
         )
@@ -463,6 +472,7 @@
         self._peer_sync.held_fencing_token = token
         if not token:
             self._keeper.reset()
+            self._placement_adviser.reset()
 
     def _list_services(self) -> list[Service]:
         table = self._planner.table
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -120,6 +120,62 @@
     replacement: str = ""
 
 
+class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
+    """Request for advice on where to send a request to a model engine.
+
+    Hosts send it as an array, so the order of the fields is part of the format.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the host that asks.
+    prompt_tokens, output_tokens : int
+        Size of the request.
+    parts : list
+        Identifiers and lengths in tokens of the parts of the prompt.
+    latest_start_ms : float
+        The request is refused if it would start later than in this time.
+    version : str
+        Version that the upstream must have; empty if any may be used.
+    excluded_versions, avoided_upstreams : list
+        Versions and upstreams that must not be used.
+    """
+
+    service: str
+    data_centre: str
+    prompt_tokens: int
+    output_tokens: int
+    parts: list[tuple[int, int]]
+    latest_start_ms: float
+    version: str = ""
+    excluded_versions: list[str] = []
+    avoided_upstreams: list[str] = []
+
+
+class PlacementAdvice(msgspec.Struct, array_like=True, frozen=True):
+    """Answer to a `PlacementQuery`.
+
+    Hosts send it as an array, so the order of the fields is part of the format.
+
+    Parameters
+    ----------
+    start_ms : float
+        Estimated time until the prompt is prefilled.
+    cached_tokens : int
+        Prompt tokens that the upstream is assumed to have cached.
+    running : int
+        Requests that run at the upstream.
+    candidates : int
+        Number of upstreams that could be used.
+    """
+
+    upstream: str
+    start_ms: float
+    cached_tokens: int
+    running: int
+    candidates: int
+
+
 class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
     """Request for quota, sent to the host that decides on quotas for all hosts.
 
@@ -129,14 +185,19 @@
     ----------
     number : int
         Identifies the request at the sender.
+    account : str
+        Account to charge; empty if only advice on the placement is needed.
     cost : float
         Quota to charge to the account: tokens or requests, by the account's unit.
+    placement : PlacementQuery or None
+        For a request to a model engine: what its placement depends on.
     """
 
     format: int
     number: int
     account: str
     cost: float
+    placement: PlacementQuery | None = None
 
 
 class QuotaReply(msgspec.Struct, array_like=True, frozen=True, tag="grant"):
@@ -157,6 +218,8 @@
     left : float or None
         Quota that is left; only set if it is too little. Negative if the account has
         used more than its limit.
+    placement : PlacementAdvice or None
+        Where to send an admitted request.
     """
 
     format: int
@@ -165,6 +228,7 @@
     admitted: bool
     retry_after_s: float | None = None
     left: float | None = None
+    placement: PlacementAdvice | None = None
 
 
 Message = Heartbeat | RelaySummary | QuotaRequest | QuotaReply
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -1,21 +1,22 @@
 """Routing, admission and choice of an upstream for each request."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import xxhash
 from result import Err
 
-from waxwingbarrow.core import Instant, ServiceName, VersionName
+from waxwingbarrow.core import Instant, ServiceName
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._fleet import Fleet, Upstream
+from waxwingbarrow.gateway._messages import PlacementQuery
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Engine, Route
 from waxwingbarrow.gateway._plans import Plan, Refused, RequestTrace
 from waxwingbarrow.gateway._ports import Codec
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.gateway._rollouts import Rollouts, VersionRule
 from waxwingbarrow.gateway._routes import NoAccount, NoRoute, RouteMatch, RouteTable
 from waxwingbarrow.gateway._work_meter import WorkMeter, estimate_work_ms
 from waxwingbarrow.routing import Placement, PlacementPolicy, RequestSize, choose_worker
@@ -138,17 +139,53 @@
     async def admit(self, plan: Plan, now: Instant) -> Refused | None:
         """Charge a request to its account; return a refusal if it is over the limit.
 
-        Waits only if another host decides on the account's limit.
+        Waits only if another host decides on the account's limit or the placement.
         """
-        admitted = await self._quota_admission.admit(plan.account, plan.cost, now)
+        query = self._make_query(plan, now)
+        admitted = await self._quota_admission.admit(
+            plan.account, plan.cost, now, query
+        )
         if isinstance(admitted, Err):
             over = admitted.err_value
             inputs = self._describe_quota(plan, now)
             inputs |= {"decided_by": over.decided_by, "keeper_left": over.left}
             return Refused(429, "over the limit", over.retry_after_s, inputs)
-        plan.charge = admitted.ok_value
+        plan.charge = admitted.ok_value.charge
+        plan.advice = admitted.ok_value.advice
         return None
 
+    def _make_query(self, plan: Plan, now: Instant) -> PlacementQuery | None:
+        """Return what the keeper needs to place a request to a model engine."""
+        metadata = plan.metadata
+        service = self.pick_service(plan)
+        if not metadata.has_token_counts or self.find_engine(service) is None:
+            return None
+        usable_upstreams = self._fleet.list_usable(service, None)
+        rule = self._find_rule(plan, service, usable_upstreams)
+        remaining_ms = plan.deadline.mono_ms - now.mono_ms
+        return PlacementQuery(
+            service=service,
+            data_centre=self._policy.data_centre,
+            prompt_tokens=metadata.prompt_tokens,
+            output_tokens=metadata.max_output_tokens,
+            parts=[(part.part, part.tokens) for part in metadata.parts],
+            latest_start_ms=remaining_ms * LATEST_START_FRACTION,
+            version=rule.only or "",
+            excluded_versions=sorted(rule.excluded),
+            avoided_upstreams=[
+                upstream.entry.upstream
+                for upstream in usable_upstreams
+                if self._fleet.is_suspect(upstream, now)
+            ],
+        )
+
+    def _find_rule(
+        self, plan: Plan, service: ServiceName, usable_upstreams: Iterable[Upstream]
+    ) -> VersionRule:
+        known_versions = {item.entry.version for item in usable_upstreams}
+        request_id = plan.metadata.request_id
+        return self._rollouts.find_rule(service, request_id, known_versions)
+
     def _describe_quota(self, plan: Plan, now: Instant) -> dict[str, object]:
         account = plan.account
         state = self._quotas.describe(account, now) if account is not None else None
@@ -170,26 +207,21 @@
         service = self.pick_service(plan)
         engine = self.find_engine(service)
         usable_upstreams = self._fleet.list_usable(service, None)
-        known_versions: set[VersionName] = {
-            item.entry.version for item in usable_upstreams
-        }
-        rule = self._rollouts.find_rule(service, metadata.request_id, known_versions)
-        eligible = [
-            item
-            for item in usable_upstreams
-            if (rule.only is None or item.entry.version == rule.only)
-            and item.entry.version not in rule.excluded
-            and item.entry.upstream not in plan.tried_upstreams
-        ]
-        work = RequestSize(
-            prompt_tokens=metadata.prompt_tokens,
-            output_tokens=metadata.max_output_tokens,
+        rule = self._find_rule(plan, service, usable_upstreams)
+        eligible = self._fleet.list_allowed(
+            service, rule.only, rule.excluded, plan.tried_upstreams
         )
-        views = self._fleet.view(eligible, metadata.parts, engine, now)
-        chosen = choose_worker(work, views, self._policy, self._rng)
-        if isinstance(chosen, Err):
-            return Refused(503, "no upstream", RETRY_AFTER_BUSY_S)
-        placement = chosen.ok_value
+        placement = self._follow_advice(plan, eligible, engine, now)
+        if placement is None:
+            work = RequestSize(
+                prompt_tokens=metadata.prompt_tokens,
+                output_tokens=metadata.max_output_tokens,
+            )
+            views = self._fleet.view(eligible, metadata.parts, engine, now)
+            chosen = choose_worker(work, views, self._policy, self._rng)
+            if isinstance(chosen, Err):
+                return Refused(503, "no upstream", RETRY_AFTER_BUSY_S)
+            placement = chosen.ok_value
         if not plan.tried_upstreams:
             work_ms = estimate_work_ms(metadata, placement.view.cached_tokens)
             self._work_meter.add(service, work_ms, now)
@@ -206,6 +238,39 @@
         trace.upstreams_age_ms = self._measure_upstreams_age_ms(now)
         return upstream, placement
 
+    def _follow_advice(
+        self,
+        plan: Plan,
+        eligible: Iterable[Upstream],
+        engine: Engine | None,
+        now: Instant,
+    ) -> Placement | None:
+        """Return the placement that the keeper advised, for the first attempt.
+
+        Returns None if there is no advice, or if this host must not or should not use
+        the upstream.
+        """
+        advice, plan.advice = plan.advice, None
+        if advice is None:
+            return None
+        advised = [
+            item
+            for item in eligible
+            if item.entry.upstream == advice.upstream
+            and not self._fleet.is_suspect(item, now)
+        ]
+        plan.trace.is_advised = bool(advised)
+        if not advised:
+            return None
+        (view,) = self._fleet.view(advised, (), engine, now)
+        return Placement(
+            view=attrs.evolve(
+                view, running=advice.running, cached_tokens=advice.cached_tokens
+            ),
+            start_ms=advice.start_ms,
+            candidates=advice.candidates,
+        )
+
     def find_engine(self, service: ServiceName) -> Engine | None:
         """Return the properties of a service's engines; None if they are not known."""
         described = self.table.services.get(service) if self.table else None
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -3,6 +3,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant, UpstreamId
+from waxwingbarrow.gateway._messages import PlacementAdvice
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Route
 from waxwingbarrow.gateway._quota_admission import Charge
 
@@ -28,6 +29,10 @@
         Number of upstreams that it was chosen from.
     upstreams_age_ms : int or None
         Age of the known registrations of upstreams.
+    is_advised : bool
+        Whether the quota keeper chose the upstream.
+    first_event_ms : int or None
+        Time from the last attempt to its first event, for a stream.
     """
 
     request_id: str
@@ -40,6 +45,8 @@
     running: int | None = None
     candidates: int | None = None
     upstreams_age_ms: int | None = None
+    is_advised: bool = False
+    first_event_ms: int | None = None
 
 
 @attrs.define(eq=False)
@@ -58,6 +65,8 @@
         crash upstreams are recognised.
     charge : Charge
         Where the cost was charged.
+    advice : PlacementAdvice or None
+        Where the quota keeper advised to send the first attempt.
     began : bool
         Whether an upstream began to run it; otherwise its charge is refunded.
     may_have_run : bool
@@ -80,6 +89,7 @@
     fingerprint: str
     trace: RequestTrace
     charge: Charge = Charge.NOWHERE
+    advice: PlacementAdvice | None = None
     began: bool = False
     may_have_run: bool = False
     delivered_attempts: int = 0
--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
@@ -6,7 +6,8 @@
 floods all hosts. So one host, the quota keeper, counts exactly, and the others ask it
 for each request of an account with a limit. The keeper is the host that holds the
 duties. A host that gets no answer decides by its own share and reports later what it
-admitted.
+admitted. The keeper also advises on the placement of requests to model engines, see
+`PlacementAdviser`; requests without a limit are sent to it only for that.
 """
 
 import asyncio
@@ -21,6 +22,8 @@
 from waxwingbarrow.gateway._messages import (
     MESSAGE_FORMAT,
     Heartbeat,
+    PlacementAdvice,
+    PlacementQuery,
     QuotaReply,
     QuotaRequest,
 )
@@ -185,6 +188,20 @@
     OWN_KEEPER = enum.auto()
 
 
+@attrs.frozen
+class Admission:
+    """Admission of a request.
+
+    Parameters
+    ----------
+    advice : PlacementAdvice or None
+        Where the keeper advises to send it; None if no keeper was asked.
+    """
+
+    charge: Charge
+    advice: PlacementAdvice | None = None
+
+
 @attrs.frozen
 class OverLimit:
     """A request that its account's quota does not allow now.
@@ -214,6 +231,8 @@
         the keeper.
     send : callable
         Sends a message to a host's address.
+    advise : callable
+        Returns, as the keeper, where to send a request to a model engine.
     """
 
     def __init__(
@@ -223,47 +242,67 @@
         clock: Clock,
         find_keeper: Callable[[Instant], str | None],
         send: Callable[[QuotaRequest, str], None],
+        advise: Callable[[PlacementQuery, Instant], PlacementAdvice | None] = (
+            lambda query, now: None
+        ),
     ) -> None:
         self._quotas = quotas
         self._keeper = keeper
         self._clock = clock
         self._find_keeper = find_keeper
         self._send = send
+        self._advise = advise
         self._last_number = 0
         self._pending: dict[int, _PendingRequest] = {}
         self._avoided_until_ms: dict[str, int] = {}
 
     async def admit(
-        self, account: Account | None, cost: float, now: Instant
-    ) -> Result[Charge, OverLimit]:
-        """Have the keeper charge a request, or charge it to this host's own share."""
-        if account is None or cost <= 0:
-            return Ok(Charge.NOWHERE)
+        self,
+        account: Account | None,
+        cost: float,
+        now: Instant,
+        query: PlacementQuery | None = None,
+    ) -> Result[Admission, OverLimit]:
+        """Have the keeper charge a request, or charge it to this host's own share.
+
+        Parameters
+        ----------
+        query : PlacementQuery or None
+            What the keeper needs to advise on the placement; None if no advice is
+            needed.
+        """
+        limited = account if account is not None and cost > 0 else None
+        if limited is None and query is None:
+            return Ok(Admission(Charge.NOWHERE))
         address = self._find_keeper(now)
         if address is None or self._avoided_until_ms.get(address, 0) > now.mono_ms:
-            return self._admit_by_share(account, cost, now)
+            return self._admit_by_share(limited, cost, now)
+        name = limited.name if limited is not None else AccountId("")
         if not address:
-            reply = self._decide(account.name, cost, now)
-            self._quotas.note_keeper_decision(account, cost, reply.admitted, now)
-            if not reply.admitted:
-                return Err(OverLimit(reply.retry_after_s, "keeper", reply.left))
-            return Ok(Charge.OWN_KEEPER)
-        answer = await self._ask(account, cost, address)
-        now = self._clock.now()
-        if answer is None:
-            return self._admit_by_share(account, cost, now)
-        self._quotas.note_keeper_decision(account, cost, answer.admitted, now)
-        if not answer.admitted:
-            return Err(OverLimit(answer.retry_after_s, address, answer.left))
-        return Ok(Charge.OTHER_KEEPER)
+            reply: QuotaReply | None = self._decide(name, cost, query, now)
+            charge, decided_by = Charge.OWN_KEEPER, "keeper"
+        else:
+            reply = await self._ask(name, cost, query, address)
+            charge, decided_by = Charge.OTHER_KEEPER, address
+            now = self._clock.now()
+        if reply is None:
+            return self._admit_by_share(limited, cost, now)
+        if limited is None:
+            return Ok(Admission(Charge.NOWHERE, reply.placement))
+        self._quotas.note_keeper_decision(limited, cost, reply.admitted, now)
+        if not reply.admitted:
+            return Err(OverLimit(reply.retry_after_s, decided_by, reply.left))
+        return Ok(Admission(charge, reply.placement))
 
     def _admit_by_share(
-        self, account: Account, cost: float, now: Instant
-    ) -> Result[Charge, OverLimit]:
+        self, account: Account | None, cost: float, now: Instant
+    ) -> Result[Admission, OverLimit]:
+        if account is None:
+            return Ok(Admission(Charge.NOWHERE))
         taken = self._quotas.try_take(account, cost, now)
         if isinstance(taken, Err):
             return Err(OverLimit(taken.err_value.retry_after_s, "own share"))
-        return Ok(Charge.OWN_SHARE)
+        return Ok(Admission(Charge.OWN_SHARE))
 
     def refund(
         self, account: Account | None, cost: float, charge: Charge, now: Instant
@@ -294,18 +333,28 @@
         if not is_keeper:
             return QuotaReply(MESSAGE_FORMAT, request.number, False, False)
         return self._decide(
-            AccountId(request.account), request.cost, now, request.number
+            AccountId(request.account),
+            request.cost,
+            request.placement,
+            now,
+            request.number,
         )
 
     def _decide(
-        self, name: AccountId, cost: float, now: Instant, number: int = 0
+        self,
+        name: AccountId,
+        cost: float,
+        query: PlacementQuery | None,
+        now: Instant,
+        number: int = 0,
     ) -> QuotaReply:
         decided = self._keeper.decide(name, cost, now)
         if isinstance(decided, Err):
             retry_after_s = decided.err_value.retry_after_s
             left = self._keeper.measure_left(name, now)
             return QuotaReply(MESSAGE_FORMAT, number, True, False, retry_after_s, left)
-        return QuotaReply(MESSAGE_FORMAT, number, True, True)
+        advice = self._advise(query, now) if query is not None else None
+        return QuotaReply(MESSAGE_FORMAT, number, True, True, placement=advice)
 
     def charge_local_admissions(self, heartbeat: Heartbeat, now: Instant) -> None:
         """Charge, as the keeper, what a host has admitted by its own share."""
@@ -314,15 +363,19 @@
             self._keeper.charge_local_admissions(AccountId(name), origin, taken, now)
 
     async def _ask(
-        self, account: Account, cost: float, address: str
+        self,
+        name: AccountId,
+        cost: float,
+        query: PlacementQuery | None,
+        address: str,
     ) -> QuotaReply | None:
         self._last_number += 1
         number = self._last_number
         loop = asyncio.get_running_loop()
-        pending = _PendingRequest(account.name, cost, loop.create_future())
+        pending = _PendingRequest(name, cost, loop.create_future())
         assert pending.answer is not None
         self._pending[number] = pending
-        self._send(QuotaRequest(MESSAGE_FORMAT, number, account.name, cost), address)
+        self._send(QuotaRequest(MESSAGE_FORMAT, number, name, cost, query), address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 reply = await pending.answer
@@ -331,7 +384,7 @@
             self._avoided_until_ms[address] = now.mono_ms + KEEPER_RETRY_MS
             logger.warning(
                 "quota not granted in time; deciding by the own share",
-                extra={"keeper": address, "account": account.name},
+                extra={"keeper": address, "account": name},
             )
             return None
         finally:
--- a/libs/gateway/tests/test_quota_admission.py
+++ b/libs/gateway/tests/test_quota_admission.py
@@ -237,7 +237,7 @@
         admitted = await host.quota_admission.admit(
             make_account(), 50, fleet.clock.now()
         )
-        assert admitted.ok() is Charge.OWN_SHARE
+        assert admitted.unwrap().charge is Charge.OWN_SHARE
 
     asyncio.run(ask())
     assert dict(host.quotas.list_charges())[NAME] == 150
