Let relays pass on configurations in deployments with relays

Ruled out: longer polls, which delay the detection of a dead connection. Now only relays poll. Their totals say up to which offset and how recently the store confirmed what they know; a host reads the store itself while no total vouches for its copy. Tests: relays cut from the store, silent, or that hosts cannot fetch from.

--- a/libs/gateway/src/waxwingbarrow/gateway/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_follower.py
@@ -19,9 +19,6 @@
 
 logger = logging.getLogger("waxwingbarrow.gateway.store")
 
-# A long poll returns as soon as there is a record. Its wait is long because the store
-# charges for each read.
-OPERATOR_WAIT_MS = 10_000
 # Well below the time within which a leaving upstream must stop getting requests.
 UPSTREAMS_INTERVAL_S = 0.8
 # Hosts learn of each other from messages, so the list is needed only after a start.
@@ -29,6 +26,8 @@
 # Delay of a second read of the hosts, for those that registered after the first one.
 HOSTS_SECOND_READ_S = 2.0
 RETRY_INTERVAL_S = 0.25
+# Interval of checks whether a relay still passes on the operator's topic.
+COVERAGE_CHECK_S = 0.2
 # Pause between long polls, so that changes in quick succession are read together.
 MIN_READ_INTERVAL_S = 0.1
 
@@ -97,6 +96,9 @@
     is_reader : callable
         Returns whether this host reads the upstreams' registrations from the store. The
         other hosts fetch changes from those that do.
+    find_operator_wait_ms : callable
+        Returns how long a read of the operator's topic waits for a change; None if a
+        relay passes on the changes.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         clock: Clock,
         apply_change: Callable[[str, Change], None],
         is_reader: Callable[[], bool],
+        find_operator_wait_ms: Callable[[], int | None],
     ) -> None:
         self._store = store
         self._replicas = replicas
@@ -114,6 +117,7 @@
         self._clock = clock
         self._apply_change = apply_change
         self._is_reader = is_reader
+        self._find_operator_wait_ms = find_operator_wait_ms
 
     async def follow(self, topic: str, wait_ms: int, interval_s: float) -> None:
         """Read a topic repeatedly until cancelled.
@@ -132,13 +136,17 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def follow_operator(self) -> None:
-        """Follow the operator's topic with long polls.
+        """Follow the operator's topic with long polls, unless a relay passes it on.
 
         A long poll that was waiting during an outage may never be answered, so another
         one replaces it when the store answers other calls again.
         """
         while True:
-            poll = asyncio.ensure_future(self.read(Topic.OPERATOR, OPERATOR_WAIT_MS))
+            wait_ms = self._find_operator_wait_ms()
+            if wait_ms is None and self._replicas[Topic.OPERATOR].is_loaded:
+                await asyncio.sleep(COVERAGE_CHECK_S)
+                continue
+            poll = asyncio.ensure_future(self.read(Topic.OPERATOR, wait_ms or 0))
             regained = asyncio.ensure_future(self._store_health.wait_until_regained())
             try:
                 await asyncio.wait({poll, regained}, return_when="FIRST_COMPLETED")
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -260,6 +260,7 @@
             cloud = LeasedCloud(cloud, lease, clock)
         cloud_duties = settings.cloud.duties if settings.cloud is not None else ()
         if cloud is not None and "usage" in cloud_duties:
+            lambda: self._peer_protocol.find_operator_wait_ms(clock.now()),
             tasks.append(
                 UsageTask(
                     self._usage,
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -100,6 +100,9 @@
         Host that replaces the sender as relay of its data centre; empty if none does.
     """
 
+    operator_age_ms : int or None
+        Time since the store confirmed that the sender knows the operator's topic up to
+        its end offset; None if it has not.
     format: int
     relay: str
     started_ms: int
@@ -120,6 +123,7 @@
     replacement: str = ""
 
 
+    operator_age_ms: int | None = None
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
     """Request for advice on where to send a request to a model engine.
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
@@ -13,6 +13,7 @@
 from waxwingbarrow.gateway._fleet import Fleet, Load
 from waxwingbarrow.gateway._members import Member, Members
 from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
+from waxwingbarrow.gateway._ports import Topic
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._replica import Replica
 from waxwingbarrow.gateway._rollouts import Rollouts
@@ -84,6 +85,16 @@
         """Return the offset up to which this host knows each topic."""
         return {topic: replica.end for topic, replica in self._replicas.items()}
 
+    def measure_operator_age_ms(self, now: Instant) -> int | None:
+        """Return the time since the store confirmed the copy of the operator's topic.
+
+        The result is None if it has not.
+        """
+        replica = self._replicas.get(Topic.OPERATOR)
+        if replica is None or replica.confirmed_ms is None:
+            return None
+        return now.mono_ms - replica.confirmed_ms
+
     def find_eligibility(self) -> DutyEligibility:
         """Return whether this host could hold the duties."""
         if not self.can_hold_duties:
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -25,6 +25,7 @@
     encode_message,
 )
 from waxwingbarrow.gateway._peer_sync import PeerSync
+from waxwingbarrow.gateway._operator_coverage import OperatorCoverage
 from waxwingbarrow.gateway._ports import Topic, Unreadable
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._relay_directory import RelayDirectory
@@ -56,6 +57,11 @@
 # Time within which all hosts have learned of a new holder and sent it their counts.
 COUNTS_DELAY_MS = 3_000
 # The relay is chosen among the hosts that the newest total lists, unless that total is
+# A long poll returns as soon as there is a record. Its wait is long because the store
+# charges for each read.
+OPERATOR_WAIT_MS = 10_000
+# Relays vouch for the copies of other hosts, so they need answers more often.
+RELAY_OPERATOR_WAIT_MS = 1_000
 # older than this.
 MEMBER_LIST_MAX_AGE_MS = 10_000
 
@@ -126,6 +132,7 @@
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
+        self._operator_coverage = OperatorCoverage()
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         now = self._clock.now()
@@ -178,6 +185,18 @@
         """
         if self.is_full_mesh(now):
             present = self._members.list_present(now)
+    def find_operator_wait_ms(self, now: Instant) -> int | None:
+        """Return how long a read of the operator's topic waits for a change.
+
+        The result is None if this host need not read it, as a relay passes it on.
+        """
+        if self.is_full_mesh(now):
+            return OPERATOR_WAIT_MS
+        if self._is_relay:
+            return RELAY_OPERATOR_WAIT_MS
+        is_covered = self._operator_coverage.is_covered(now)
+        return None if is_covered else OPERATOR_WAIT_MS
+
             # Only a host that hears a majority is able to hold the duties.
             is_able = 2 * (1 + len(present)) > self._members.count_known()
             eligibility_by_host = {
@@ -349,7 +368,11 @@
             self._peer_sync.list_end_offsets(),
         )
         own = self._aggregator.summarize_own(
-            fleet_hash, end_offsets, now, self._peer_sync.find_eligibility()
+            fleet_hash,
+            end_offsets,
+            now,
+            self._peer_sync.find_eligibility(),
+            self._peer_sync.measure_operator_age_ms(now),
         )
         self._unsent_parts = (self._unsent_parts + own.parts)[-MAX_SUMMARY_PROMPTS:]
         # The other hosts wait for the duties as long as they know of a holder.
@@ -504,5 +527,11 @@
         ]
         self._host_counts.append((now.mono_ms, summary.host_count))
         self._peer_sync.apply_total(
+        self._operator_coverage.note_total(
+            summary.operator_age_ms,
+            summary.end_offsets.get(Topic.OPERATOR, 0),
+            self._peer_sync.list_end_offsets().get(Topic.OPERATOR, 0),
+            now,
+        )
             summary, max(hosts for _, hosts in self._host_counts), now
         )
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -20,6 +20,7 @@
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
 from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
+from waxwingbarrow.gateway._ports import Topic
 
 # Number of hosts from which relays are used. A full mesh of this many hosts costs each
 # of them about 1% of a core.
@@ -199,6 +200,7 @@
         end_offsets: dict[str, int],
         now: Instant,
         eligibility: int = 1,
+        operator_age_ms: int | None = None,
     ) -> RelaySummary:
         """Return the sums over this data centre.
 
@@ -208,6 +210,8 @@
         ----------
         fleet_hash, end_offsets, eligibility : int, dict, int
             Of the relay itself; see `Heartbeat`.
+        operator_age_ms : int or None
+            Of the relay itself; see `RelaySummary`.
         """
         self._heartbeats = {
             host: received
@@ -240,6 +244,7 @@
             _concatenate(heartbeat.suspects for heartbeat in heartbeats),
             _concatenate(heartbeat.withdrawn for heartbeat in heartbeats),
             eligibility,
+            operator_age_ms=operator_age_ms,
         )
 
     def summarize_all(self, own: RelaySummary, now: Instant) -> RelaySummary:
@@ -276,8 +281,22 @@
             _concatenate(summary.parts for summary in summaries)[-MAX_SUMMARY_PROMPTS:],
             _concatenate(summary.suspects for summary in summaries),
             _concatenate(summary.withdrawn for summary in summaries),
+            operator_age_ms=self._find_operator_age_ms(own, now),
         )
 
+    def _find_operator_age_ms(self, own: RelaySummary, now: Instant) -> int | None:
+        """Return the least age of a confirmation that holds for this relay's copy.
+
+        That of another relay holds only if this one knows as much.
+        """
+        own_end = own.end_offsets.get(Topic.OPERATOR, 0)
+        ages_ms = [own.operator_age_ms]
+        for summary, _, received_ms in self._summaries.values():
+            is_known = own_end >= summary.end_offsets.get(Topic.OPERATOR, 0)
+            if summary.operator_age_ms is not None and is_known:
+                ages_ms.append(summary.operator_age_ms + now.mono_ms - received_ms)
+        return min((age_ms for age_ms in ages_ms if age_ms is not None), default=None)
+
 
 def _sum_loads(
     lists: Iterable[list[tuple[str, int, int, int]]],
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -87,17 +87,21 @@
     def run(self, half_seconds):
         """Let every host send twice per half second, and deliver the messages."""
         for _ in range(2 * half_seconds):
-            self.clock.advance_ms(250)
-            for host in self.hosts.values():
-                if host.address not in self.down:
-                    now = self.clock.now()
-                    if host.peers.is_full_mesh(now):
-                        host.peers.send_to_all_hosts(now)
-                    else:
-                        host.peers.send_to_relay(now)
-                    # The loop that renews the lease asks for it all the time.
-                    host.peers.is_candidate(now)
-            self.deliver(self.down)
+            self.run_quarter()
+
+    def run_quarter(self):
+        """Let every host send once, and deliver the messages."""
+        self.clock.advance_ms(250)
+        for host in self.hosts.values():
+            if host.address not in self.down:
+                now = self.clock.now()
+                if host.peers.is_full_mesh(now):
+                    host.peers.send_to_all_hosts(now)
+                else:
+                    host.peers.send_to_relay(now)
+                # The loop that renews the lease asks for it all the time.
+                host.peers.is_candidate(now)
+        self.deliver(self.down)
 
     def deliver(self, down=()):
         while self.queue:
@@ -114,6 +118,7 @@
     def __init__(self, network, name, centre, address):
         self.address = address
         self.centre = centre
+        self.clock = network.clock
         self.relay_mbps = 200 if name in network.fast_hosts else 10
         host = HostId(name)
         self.members = Members(host)
@@ -164,6 +169,9 @@
         self.peers.connection_made(FakeTransport(network, address))
 
     def note_fetch(self, address):
+    def find_wait_ms(self):
+        return self.peers.find_operator_wait_ms(self.clock.now())
+
         self.fetch_count += 1
 
 
--- a/libs/gateway/tests/test_follower.py
+++ b/libs/gateway/tests/test_follower.py
@@ -9,6 +9,7 @@
 
 from waxwingbarrow.core import SystemClock
 from waxwingbarrow.gateway._follower import Follower, StoreHealth
+from waxwingbarrow.gateway._peers import OPERATOR_WAIT_MS
 from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord, StoreUnreachable, Topic
 from waxwingbarrow.gateway._replica import Replica
 
@@ -63,6 +64,7 @@
         clock,
         lambda topic, change: changes.append((topic, change)),
         lambda: True,
+        lambda: OPERATOR_WAIT_MS,
     )
     tasks = [
         asyncio.create_task(follower.follow_operator()),
--- /dev/null
+++ b/libs/gateway/tests/test_operator_coverage.py
@@ -0,0 +1,108 @@
+"""Guards against hosts that miss a configuration because they rely on their relay.
+
+Hosts that are not relays do not read configurations at the store while a relay that
+follows the store passes them on.
+"""
+
+import pytest
+from peer_network import Network
+
+from waxwingbarrow.core import Instant
+from waxwingbarrow.gateway._operator_coverage import (
+    MAX_BEHIND_MS,
+    MAX_CONFIRMATION_AGE_MS,
+    OperatorCoverage,
+)
+from waxwingbarrow.gateway._ports import Topic
+
+RELAYS = ("h0-0", "h1-0", "h2-0")
+# A version must be in force within this time at the least, in deployments with relays.
+CONFIG_BOUND_MS = 3_000
+
+
+class Deployment:
+    """Three data centres, whose relays read the store while they reach it."""
+
+    def __init__(self):
+        self.network = Network(3, 8, RELAYS)
+        self.without_store = set()
+        self.run(8)
+
+    def run(self, quarters):
+        for _ in range(quarters):
+            now_ms = self.network.clock.now().mono_ms
+            for name in RELAYS:
+                if name not in self.without_store:
+                    replica = self.network.hosts[name].replicas[Topic.OPERATOR]
+                    replica.confirmed_ms = now_ms
+                    replica.is_loaded = True
+            self.network.run_quarter()
+
+    def publish(self):
+        """Let all hosts that read the store learn of a record."""
+        for name, host in self.network.hosts.items():
+            is_reading = host.find_wait_ms() is not None
+            if is_reading and name not in self.without_store:
+                host.replicas[Topic.OPERATOR].end += 1
+
+    def list_readers(self):
+        return {
+            name
+            for name, host in self.network.hosts.items()
+            if host.find_wait_ms() is not None
+        }
+
+
+@pytest.fixture
+def deployment():
+    return Deployment()
+
+
+def test_only_relays_read_the_store(deployment):
+    assert deployment.list_readers() == set(RELAYS)
+
+
+def test_relays_without_the_store_rely_on_those_that_reach_it(deployment):
+    deployment.without_store = {"h0-0", "h1-0"}
+    deployment.run(20)
+    assert deployment.list_readers() == set(RELAYS)
+
+
+def test_all_hosts_read_the_store_when_no_relay_reaches_it(deployment):
+    deployment.without_store = set(RELAYS)
+    deployment.run(CONFIG_BOUND_MS // 250 - 2)
+    assert deployment.list_readers() == set(deployment.network.hosts)
+
+
+def test_hosts_of_a_silent_relay_read_the_store(deployment):
+    deployment.network.fail("h1-0")
+    deployment.run(CONFIG_BOUND_MS // 250 - 2)
+    readers = deployment.list_readers()
+    assert {name for name in deployment.network.hosts if name[:2] == "h1"} <= readers
+
+
+def test_hosts_that_cannot_fetch_from_their_relay_read_the_store(deployment):
+    deployment.publish()
+    deployment.run(MAX_BEHIND_MS // 250 + 3)
+    assert deployment.list_readers() == set(deployment.network.hosts)
+
+
+def test_a_relay_does_not_vouch_with_a_confirmation_of_one_that_knows_more():
+    deployment = Deployment()
+    deployment.without_store = {"h0-0"}
+    for name in ("h1-0", "h2-0"):
+        deployment.network.hosts[name].replicas[Topic.OPERATOR].end = 5
+    deployment.run(CONFIG_BOUND_MS // 250 - 2)
+    readers = deployment.list_readers()
+    assert {name for name in deployment.network.hosts if name[:2] == "h0"} <= readers
+
+
+def test_a_copy_is_not_covered_before_any_confirmation():
+    coverage = OperatorCoverage()
+    now = Instant(0, 10_000)
+    assert not coverage.is_covered(now)
+    coverage.note_total(None, 3, 3, now)
+    assert not coverage.is_covered(now)
+    coverage.note_total(0, 3, 3, now)
+    assert coverage.is_covered(now)
+    assert not coverage.is_covered(now.plus_ms(MAX_CONFIRMATION_AGE_MS + 1))
