Learn the speed and the failures of engines from the reports of all hosts

Cause: with one request in two hundred a host does not find a slow, failing or hung engine for seconds, and each host finds it by itself. Reports of the first event or the failure now go to the keeper that placed the request. It learns how much slower an engine is than its backlog predicts, and avoids engines that fail or from which a first event is overdue, for all hosts. A deployment with other engines is learnt the same way. Ruled out: reports of the engines themselves, which are late and priced as probes.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -25,6 +25,7 @@
 from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
 from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
 from waxwingbarrow.gateway._http_heads import get_reason_phrase
+from waxwingbarrow.gateway._messages import AttemptOutcome
 from waxwingbarrow.gateway._metrics import Metrics
 from waxwingbarrow.gateway._model import (
     Call,
@@ -33,6 +34,7 @@
     RouteKind,
 )
 from waxwingbarrow.gateway._moves import PlannedJob
+from waxwingbarrow.gateway._placements import AttemptReporter
 from waxwingbarrow.gateway._planner import RETRY_AFTER_BUSY_S, Planner
 from waxwingbarrow.gateway._plans import Plan, Refused
 from waxwingbarrow.gateway._ports import Codec
@@ -68,6 +70,7 @@
         crash_tracker: CrashTracker,
         metrics: Metrics,
         retry_budgets: RetryBudgets,
+        reporter: AttemptReporter,
     ) -> None:
         self._planner = planner
         self._codec = codec
@@ -79,6 +82,7 @@
         self._crash_tracker = crash_tracker
         self._metrics = metrics
         self._retry_budgets = retry_budgets
+        self._reporter = reporter
 
     async def handle(self, call: Call, responder: Responder) -> None:
         """Handle one request and write its response."""
@@ -273,7 +277,9 @@
                     if _has_too_many_events(plan, splitter):
                         return InvalidResponse("more events than output tokens")
                     if events:
-                        self._forward_events(plan, response, job, events, responder)
+                        self._forward_events(
+                            plan, upstream, response, job, events, responder
+                        )
                     if splitter.is_oversized:
                         return ConnectionLost("bytes without a numbered event")
             if splitter.remainder:
@@ -296,13 +302,14 @@
     def _forward_events(
         self,
         plan: Plan,
+        upstream: Upstream,
         response: ResponseStarted,
         job: PlannedJob,
         events: bytes,
         responder: Responder,
     ) -> None:
         if job.first_event_ms is None:
-            self._note_first_event(plan, job)
+            self._note_first_event(plan, upstream, job)
         if not responder.started:
             self._start_stream(response.head, responder)
         job.events += events.count(EVENT_END)
@@ -312,8 +319,11 @@
         headers = self._codec.write_response(head)
         responder.start_stream(head.status, head.reason, headers)
 
-    def _note_first_event(self, plan: Plan, job: Job) -> None:
+    def _note_first_event(self, plan: Plan, upstream: Upstream, job: Job) -> None:
         now = self._clock.now()
+        self._reporter.report(
+            upstream, plan.advice_number, AttemptOutcome.FIRST_EVENT, now
+        )
         self._note_execution_start(plan)
         job.pending_prefill_tokens = 0
         job.first_event_ms = now.mono_ms
@@ -416,6 +426,8 @@
                 failed = True
                 self._fleet.record(upstream, True, now)
                 result = "expired"
+        if job is not None:
+            self._report_failure(plan, upstream, outcome, failed, now)
         if isinstance(outcome, ResponseReceived):
             self._crash_tracker.note_completion(plan.fingerprint, name, now)
         if not isinstance(outcome, NotSent | NotRun):
@@ -431,6 +443,25 @@
             )
         plan.trace.attempts.append(f"{name}: {result}")
 
+    def _report_failure(
+        self,
+        plan: Plan,
+        upstream: Upstream,
+        outcome: ResponseReceived | AttemptFailure,
+        failed: bool,
+        now: Instant,
+    ) -> None:
+        match outcome:
+            case NotSent():
+                reported = AttemptOutcome.UNREACHABLE
+            case NotRun():
+                reported = AttemptOutcome.NOT_RUN
+            case _ if failed:
+                reported = AttemptOutcome.FAILED
+            case _:
+                return
+        self._reporter.report(upstream, plan.advice_number, reported, now)
+
     def _record_move(self, plan: Plan, upstream: Upstream) -> None:
         plan.delivered_attempts += 1
         plan.moves += 1
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -18,6 +18,7 @@
 from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
 from waxwingbarrow.routing import (
+    BacklogTracker,
     HealthPolicy,
     HealthRegistry,
     HealthState,
@@ -374,6 +375,7 @@
         parts: tuple[PromptPart, ...],
         engine: Engine | None,
         now: Instant,
+        backlog: BacklogTracker | None = None,
     ) -> list[WorkerView]:
         """Return the inputs of the choice of a worker, one for each upstream.
 
@@ -383,25 +385,37 @@
             Parts of the request's prompt, to count those that are cached.
         engine : Engine or None
             Properties of the service's engines, if it has any.
+        backlog : BacklogTracker or None
+            Backlog and speed of the engines, if this host places all requests;
+            otherwise the backlog is taken from the reports of load.
         """
         views = []
         for upstream in upstreams:
             entry = upstream.entry
+            name = entry.upstream
             load = upstream.measure(now)
+            running, pending_tokens = load.running, float(load.pending_prefill_tokens)
+            is_silent, slowdown = False, 1.0
+            if backlog is not None:
+                running += backlog.count_unreported(name, now)
+                pending_tokens = backlog.measure_pending_tokens(name, now)
+                is_silent = backlog.is_silent(name, now)
+                slowdown = backlog.measure_slowdown(name, now)
             views.append(
                 WorkerView(
-                    upstream=entry.upstream,
+                    upstream=name,
                     data_centre=entry.data_centre,
                     slots=engine.slots if engine else entry.slots,
-                    running=load.running,
-                    pending_prefill_tokens=load.pending_prefill_tokens,
+                    running=running,
+                    pending_prefill_tokens=pending_tokens,
                     used_tokens=load.used_tokens,
                     memory_tokens=engine.memory_tokens if engine else 0,
                     cached_tokens=(
-                        self.parts.count_cached(entry.upstream, parts) if parts else 0
+                        self.parts.count_cached(name, parts) if parts else 0
                     ),
                     failure_rate=upstream.compute_failure_rate(now),
-                    is_suspect=self.is_suspect(upstream, now),
+                    is_suspect=is_silent or self.is_suspect(upstream, now),
+                    slowdown=slowdown,
                 )
             )
         return views
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -36,7 +36,7 @@
 from waxwingbarrow.gateway._moves import StreamMover
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._peers import PeerProtocol
-from waxwingbarrow.gateway._placements import PlacementAdviser
+from waxwingbarrow.gateway._placements import AttemptReporter, PlacementAdviser
 from waxwingbarrow.gateway._planner import Planner
 from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic, describe_failure
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission, QuotaKeeper
@@ -143,7 +143,7 @@
             clock,
             lambda now: self._peer_protocol.find_keeper(now),
             lambda request, address: self._peer_protocol.send_message(request, address),
-            lambda query, now: self._placement_adviser.advise(query, now),
+            lambda query, key, now: self._placement_adviser.advise(query, key, now),
         )
         policy = PlacementPolicy(data_centre=data_centre)
         self._placement_adviser = PlacementAdviser(
@@ -187,6 +187,13 @@
             self._crash_tracker,
             metrics,
             self._retry_budgets,
+            AttemptReporter(
+                self._placement_adviser,
+                lambda now: self._peer_protocol.find_keeper(now),
+                lambda report, address: self._peer_protocol.send_message(
+                    report, address
+                ),
+            ),
         )
         self._mover = StreamMover(
             self._planner, self._fleet, codec, clock, self._retry_budgets
@@ -244,6 +251,7 @@
             clock,
             self._rng,
             lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
+            self._placement_adviser.note_attempt,
         )
         self._follower = Follower(
             store,
@@ -252,6 +260,7 @@
             clock,
             self._change_applier.apply_change,
             self._is_relay,
+            lambda: self._peer_protocol.find_operator_wait_ms(clock.now()),
         )
         ttl_ms = max(MEMBER_TTL_MS, settings.store.min_ttl_ms)
         lease = Lease(bounds.lease_ms, ttl_ms)
@@ -260,7 +269,6 @@
             cloud = LeasedCloud(cloud, lease, clock)
         cloud_duties = settings.cloud.duties if settings.cloud is not None else ()
         if cloud is not None and "usage" in cloud_duties:
-            lambda: self._peer_protocol.find_operator_wait_ms(clock.now()),
             tasks.append(
                 UsageTask(
                     self._usage,
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -1,5 +1,7 @@
 """Messages that the hosts of a deployment send to each other."""
 
+import enum
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -98,11 +100,11 @@
         Of the relay itself, as in `Heartbeat`.
     replacement : str
         Host that replaces the sender as relay of its data centre; empty if none does.
-    """
-
     operator_age_ms : int or None
         Time since the store confirmed that the sender knows the operator's topic up to
         its end offset; None if it has not.
+    """
+
     format: int
     relay: str
     started_ms: int
@@ -121,9 +123,9 @@
     withdrawn: list[tuple[str, int]]
     eligibility: int = 1
     replacement: str = ""
+    operator_age_ms: int | None = None
 
 
-    operator_age_ms: int | None = None
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
     """Request for advice on where to send a request to a model engine.
 
@@ -180,6 +182,47 @@
     candidates: int
 
 
+class AttemptOutcome(enum.IntEnum):
+    """How far an attempt at a model engine came.
+
+    Attributes
+    ----------
+    FIRST_EVENT
+        The first event arrived.
+    FAILED
+        The attempt failed, or the engine answered with an error.
+    UNREACHABLE
+        The engine did not accept a connection.
+    NOT_RUN
+        The engine turned the request away.
+    """
+
+    FIRST_EVENT = 1
+    FAILED = 2
+    UNREACHABLE = 3
+    NOT_RUN = 4
+
+
+class AttemptReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
+    """Outcome of an attempt at a model engine, sent to the host that places requests.
+
+    Hosts send it as an array, so the order of the fields is part of the format.
+
+    Parameters
+    ----------
+    number : int
+        Number of the `QuotaRequest` whose answer advised the engine; 0 if none did.
+    started_ms : int
+        Wall time of the start of the engine's process, as it is registered.
+    """
+
+    format: int
+    number: int
+    upstream: str
+    started_ms: int
+    outcome: AttemptOutcome
+
+
 class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
     """Request for quota, sent to the host that decides on quotas for all hosts.
 
@@ -235,11 +278,11 @@
     placement: PlacementAdvice | None = None
 
 
-Message = Heartbeat | RelaySummary | QuotaRequest | QuotaReply
+Message = Heartbeat | RelaySummary | QuotaRequest | QuotaReply | AttemptReport
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
-    Heartbeat | RelaySummary | QuotaRequest | QuotaReply
+    Heartbeat | RelaySummary | QuotaRequest | QuotaReply | AttemptReport
 )
 
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -16,6 +16,7 @@
 from waxwingbarrow.gateway._fragments import Fragmenter, Reassembler
 from waxwingbarrow.gateway._members import LIMIT_SHARE_TIMEOUT_MS, Member, Members
 from waxwingbarrow.gateway._messages import (
+    AttemptReport,
     Heartbeat,
     Message,
     QuotaReply,
@@ -24,8 +25,8 @@
     decode_message,
     encode_message,
 )
-from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._operator_coverage import OperatorCoverage
+from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._ports import Topic, Unreadable
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._relay_directory import RelayDirectory
@@ -56,12 +57,12 @@
 HOLDER_EVERY_TICKS = 4
 # Time within which all hosts have learned of a new holder and sent it their counts.
 COUNTS_DELAY_MS = 3_000
-# The relay is chosen among the hosts that the newest total lists, unless that total is
 # A long poll returns as soon as there is a record. Its wait is long because the store
 # charges for each read.
 OPERATOR_WAIT_MS = 10_000
 # Relays vouch for the copies of other hosts, so they need answers more often.
 RELAY_OPERATOR_WAIT_MS = 1_000
+# The relay is chosen among the hosts that the newest total lists, unless that total is
 # older than this.
 MEMBER_LIST_MAX_AGE_MS = 10_000
 
@@ -82,6 +83,8 @@
         TCP port from which replicas are fetched; the same on all hosts.
     call_later : callable
         Calls a function after a delay in seconds.
+    note_attempt : callable
+        Called with the report of a host about an attempt, and the host's address.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         clock: Clock,
         rng: random.Random,
         call_later: Callable[[float, Callable[[], None]], object],
+        note_attempt: Callable[[AttemptReport, str, Instant], None],
     ) -> None:
         self._own = own
         self._peer_sync = peer_sync
@@ -108,6 +112,7 @@
         self._clock = clock
         self._rng = rng
         self._call_later = call_later
+        self._note_attempt = note_attempt
         self._fragmenter = Fragmenter()
         self._reassembler = Reassembler()
         self._transport: asyncio.DatagramTransport | None = None
@@ -127,12 +132,12 @@
         self._sent_holder: tuple[int, str] | None = None
         self._is_relay = False
         self._candidacy = Candidacy(clock.now())
+        self._operator_coverage = OperatorCoverage()
 
     # Callbacks of asyncio.DatagramProtocol
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
-        self._operator_coverage = OperatorCoverage()
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         now = self._clock.now()
@@ -153,11 +158,13 @@
                 self._handle_summary(summary, addr[0], now)
             case QuotaRequest() as request:
                 reply = self._quota_admission.answer(
-                    request, self._peer_sync.held_fencing_token > 0, now
+                    request, self._peer_sync.held_fencing_token > 0, now, addr[0]
                 )
                 self.send_message(reply, addr[0])
             case QuotaReply() as reply:
                 self._quota_admission.handle_quota_reply(reply)
+            case AttemptReport() as report:
+                self._note_attempt(report, addr[0], now)
 
     def error_received(self, exc: Exception) -> None:
         logger.debug("message to a peer was not delivered", extra={"error": repr(exc)})
@@ -178,13 +185,6 @@
         """Whether this host acts as a relay; in a full mesh each host does."""
         return self.is_full_mesh(now) or self._is_relay
 
-    def is_candidate(self, now: Instant) -> bool:
-        """Decide whether this host is a candidate for the duties; see `Candidacy`.
-
-        The result is also part of the next heartbeat.
-        """
-        if self.is_full_mesh(now):
-            present = self._members.list_present(now)
     def find_operator_wait_ms(self, now: Instant) -> int | None:
         """Return how long a read of the operator's topic waits for a change.
 
@@ -197,6 +197,13 @@
         is_covered = self._operator_coverage.is_covered(now)
         return None if is_covered else OPERATOR_WAIT_MS
 
+    def is_candidate(self, now: Instant) -> bool:
+        """Decide whether this host is a candidate for the duties; see `Candidacy`.
+
+        The result is also part of the next heartbeat.
+        """
+        if self.is_full_mesh(now):
+            present = self._members.list_present(now)
             # Only a host that hears a majority is able to hold the duties.
             is_able = 2 * (1 + len(present)) > self._members.count_known()
             eligibility_by_host = {
@@ -520,6 +527,12 @@
 
     def _apply_total(self, summary: RelaySummary, now: Instant) -> None:
         self._last_total = (summary, now.mono_ms)
+        self._operator_coverage.note_total(
+            summary.operator_age_ms,
+            summary.end_offsets.get(Topic.OPERATOR, 0),
+            self._peer_sync.list_end_offsets().get(Topic.OPERATOR, 0),
+            now,
+        )
         self._host_counts = [
             (received_ms, hosts)
             for received_ms, hosts in self._host_counts
@@ -527,11 +540,5 @@
         ]
         self._host_counts.append((now.mono_ms, summary.host_count))
         self._peer_sync.apply_total(
-        self._operator_coverage.note_total(
-            summary.operator_age_ms,
-            summary.end_offsets.get(Topic.OPERATOR, 0),
-            self._peer_sync.list_end_offsets().get(Topic.OPERATOR, 0),
-            now,
-        )
             summary, max(hosts for _, hosts in self._host_counts), now
         )
--- a/libs/gateway/src/waxwingbarrow/gateway/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_placements.py
@@ -4,7 +4,8 @@
 prompts have been prefilled, and of few of their prompt parts. Hosts that choose by such
 figures send several long prompts to one engine while others are idle. The quota keeper
 is asked about most requests anyway, so it also tells where to send them. A host follows
-the advice as long as it may use that upstream itself.
+the advice as long as it may use that upstream itself, and reports the first event or
+the failure, so that all hosts avoid an engine that one of them found slow or broken.
 """
 
 import random
@@ -13,23 +14,26 @@
 import attrs
 from result import Err
 
-from waxwingbarrow.core import DataCentre, Instant, ServiceName, VersionName
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._messages import PlacementAdvice, PlacementQuery
+from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
+from waxwingbarrow.gateway._fleet import Fleet, Upstream
+from waxwingbarrow.gateway._messages import (
+    MESSAGE_FORMAT,
+    AttemptOutcome,
+    AttemptReport,
+    PlacementAdvice,
+    PlacementQuery,
+)
 from waxwingbarrow.gateway._model import Engine
+from waxwingbarrow.gateway._quota_admission import RequestKey
 from waxwingbarrow.routing import (
+    BacklogPolicy,
     BacklogTracker,
     PlacementPolicy,
     PromptPart,
     RequestSize,
-    WorkerView,
     choose_worker,
 )
 
-# Time until the totals of the relays contain a request: one heartbeat, one exchange
-# between relays and one total.
-TOTALS_LAG_MS = 750
-
 
 class PlacementAdviser:
     """Chooses upstreams for the requests of all hosts while this host is the keeper.
@@ -53,33 +57,35 @@
         self._policy = policy
         self._rng = rng
         self._find_engine = find_engine
-        self._backlog = BacklogTracker(policy.prefill_tokens_per_ms, TOTALS_LAG_MS)
+        self._backlog = BacklogTracker(
+            BacklogPolicy(prefill_tokens_per_ms=policy.prefill_tokens_per_ms)
+        )
 
-    def advise(self, query: PlacementQuery, now: Instant) -> PlacementAdvice | None:
+    def advise(
+        self, query: PlacementQuery, key: RequestKey, now: Instant
+    ) -> PlacementAdvice | None:
         """Choose an upstream for a request and count the request there.
 
         A request that cannot start in time is not counted, because it is not sent.
         Returns None if no upstream can be used.
+
+        Parameters
+        ----------
+        key : tuple
+            Identifies the request in the later report about its attempt.
         """
         service = ServiceName(query.service)
         engine = self._find_engine(service)
         if engine is None:
             return None
         parts = tuple(PromptPart(part, tokens) for part, tokens in query.parts)
-        views = [
-            self._add_backlog(view, now)
-            for view in self._fleet.view(
-                self._fleet.list_allowed(
-                    service,
-                    VersionName(query.version) if query.version else None,
-                    query.excluded_versions,
-                    query.avoided_upstreams,
-                ),
-                parts,
-                engine,
-                now,
-            )
-        ]
+        allowed = self._fleet.list_allowed(
+            service,
+            VersionName(query.version) if query.version else None,
+            query.excluded_versions,
+            query.avoided_upstreams,
+        )
+        views = self._fleet.view(allowed, parts, engine, now, self._backlog)
         size = RequestSize(
             prompt_tokens=query.prompt_tokens, output_tokens=query.output_tokens
         )
@@ -91,7 +97,9 @@
         view = placement.view
         if placement.start_ms <= query.latest_start_ms:
             prefill_tokens = max(query.prompt_tokens - view.cached_tokens, 0)
-            self._backlog.record(view.upstream, prefill_tokens, now)
+            self._backlog.record(view.upstream, key, prefill_tokens, now)
+            if len(self._backlog) > 2 * len(self._fleet.upstreams):
+                self._backlog.retain(self._fleet.upstreams)
             self._fleet.parts.record_prompt(view.upstream, parts)
         return PlacementAdvice(
             str(view.upstream),
@@ -101,14 +109,81 @@
             placement.candidates,
         )
 
-    def _add_backlog(self, view: WorkerView, now: Instant) -> WorkerView:
-        name = view.upstream
-        return attrs.evolve(
-            view,
-            running=view.running + self._backlog.count_unreported(name, now),
-            pending_prefill_tokens=self._backlog.measure_pending_tokens(name, now),
-        )
+    def note_attempt(self, report: AttemptReport, sender: str, now: Instant) -> None:
+        """Record the outcome of an attempt of any host.
+
+        Parameters
+        ----------
+        sender : str
+            Address of the host; empty for this one, whose own records have it already.
+        """
+        name, key = UpstreamId(report.upstream), (sender, report.number)
+        upstream = self._fleet.upstreams.get(name)
+        if upstream is None or upstream.entry.process_started_ms != report.started_ms:
+            return
+        if report.outcome is AttemptOutcome.FIRST_EVENT:
+            self._backlog.note_first_event(name, key, now)
+        else:
+            self._backlog.note_failure(name, key)
+        if not sender:
+            return
+        match report.outcome:
+            case AttemptOutcome.FIRST_EVENT:
+                self._fleet.record(upstream, False, now)
+            case AttemptOutcome.FAILED:
+                self._fleet.record(upstream, True, now)
+            case AttemptOutcome.UNREACHABLE:
+                self._fleet.record_unreachable(upstream, now)
+            case AttemptOutcome.NOT_RUN:
+                upstream.record(True, now)
 
     def reset(self) -> None:
         """Forget all placements, because another host places the requests now."""
         self._backlog.clear()
+
+
+class AttemptReporter:
+    """Reports outcomes of attempts at engines to the keeper.
+
+    Parameters
+    ----------
+    adviser : PlacementAdviser
+        Gets the reports while this host is the keeper.
+    find_keeper : callable
+        Returns the keeper's address; see `QuotaAdmission`.
+    send : callable
+        Sends a message to a host's address.
+    """
+
+    def __init__(
+        self,
+        adviser: PlacementAdviser,
+        find_keeper: Callable[[Instant], str | None],
+        send: Callable[[AttemptReport, str], None],
+    ) -> None:
+        self._adviser = adviser
+        self._find_keeper = find_keeper
+        self._send = send
+
+    def report(
+        self, upstream: Upstream, number: int, outcome: AttemptOutcome, now: Instant
+    ) -> None:
+        """Report how far an attempt came.
+
+        Parameters
+        ----------
+        number : int
+            Number of the request to the keeper that advised the upstream; 0 if it did
+            not.
+        """
+        address = self._find_keeper(now)
+        if address is None:
+            return
+        entry = upstream.entry
+        report = AttemptReport(
+            MESSAGE_FORMAT, number, entry.upstream, entry.process_started_ms, outcome
+        )
+        if address:
+            self._send(report, address)
+        else:
+            self._adviser.note_attempt(report, "", now)
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -150,8 +150,9 @@
             inputs = self._describe_quota(plan, now)
             inputs |= {"decided_by": over.decided_by, "keeper_left": over.left}
             return Refused(429, "over the limit", over.retry_after_s, inputs)
-        plan.charge = admitted.ok_value.charge
-        plan.advice = admitted.ok_value.advice
+        admission = admitted.ok_value
+        plan.charge = admission.charge
+        plan.advice, plan.advice_number = admission.advice, admission.number
         return None
 
     def _make_query(self, plan: Plan, now: Instant) -> PlacementQuery | None:
@@ -252,6 +253,7 @@
         """
         advice, plan.advice = plan.advice, None
         if advice is None:
+            plan.advice_number = 0
             return None
         advised = [
             item
@@ -261,6 +263,7 @@
         ]
         plan.trace.is_advised = bool(advised)
         if not advised:
+            plan.advice_number = 0
             return None
         (view,) = self._fleet.view(advised, (), engine, now)
         return Placement(
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -67,6 +67,8 @@
         Where the cost was charged.
     advice : PlacementAdvice or None
         Where the quota keeper advised to send the first attempt.
+    advice_number : int
+        Identifies the advice that the current attempt follows; 0 if it follows none.
     began : bool
         Whether an upstream began to run it; otherwise its charge is refunded.
     may_have_run : bool
@@ -90,6 +92,7 @@
     trace: RequestTrace
     charge: Charge = Charge.NOWHERE
     advice: PlacementAdvice | None = None
+    advice_number: int = 0
     began: bool = False
     may_have_run: bool = False
     delivered_attempts: int = 0
--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
@@ -43,6 +43,9 @@
 # late is refunded. They cover many seconds.
 MAX_PENDING = 2_000
 
+Advice = PlacementAdvice | None
+# Address of the host that asks, empty for the keeper itself, and its number.
+RequestKey = tuple[str, int]
 # A host and the wall time in ms at which its process started.
 Origin = tuple[HostId, int]
 
@@ -196,10 +199,13 @@
     ----------
     advice : PlacementAdvice or None
         Where the keeper advises to send it; None if no keeper was asked.
+    number : int
+        Identifies the advice in reports to the keeper.
     """
 
     charge: Charge
     advice: PlacementAdvice | None = None
+    number: int = 0
 
 
 @attrs.frozen
@@ -242,8 +248,8 @@
         clock: Clock,
         find_keeper: Callable[[Instant], str | None],
         send: Callable[[QuotaRequest, str], None],
-        advise: Callable[[PlacementQuery, Instant], PlacementAdvice | None] = (
-            lambda query, now: None
+        advise: Callable[[PlacementQuery, RequestKey, Instant], Advice] = (
+            lambda query, key, now: None
         ),
     ) -> None:
         self._quotas = quotas
@@ -279,7 +285,9 @@
             return self._admit_by_share(limited, cost, now)
         name = limited.name if limited is not None else AccountId("")
         if not address:
-            reply: QuotaReply | None = self._decide(name, cost, query, now)
+            self._last_number += 1
+            key = ("", self._last_number)
+            reply: QuotaReply | None = self._decide(name, cost, query, now, key)
             charge, decided_by = Charge.OWN_KEEPER, "keeper"
         else:
             reply = await self._ask(name, cost, query, address)
@@ -288,11 +296,11 @@
         if reply is None:
             return self._admit_by_share(limited, cost, now)
         if limited is None:
-            return Ok(Admission(Charge.NOWHERE, reply.placement))
+            return Ok(Admission(Charge.NOWHERE, reply.placement, reply.number))
         self._quotas.note_keeper_decision(limited, cost, reply.admitted, now)
         if not reply.admitted:
             return Err(OverLimit(reply.retry_after_s, decided_by, reply.left))
-        return Ok(Admission(charge, reply.placement))
+        return Ok(Admission(charge, reply.placement, reply.number))
 
     def _admit_by_share(
         self, account: Account | None, cost: float, now: Instant
@@ -321,7 +329,7 @@
                 pass
 
     def answer(
-        self, request: QuotaRequest, is_keeper: bool, now: Instant
+        self, request: QuotaRequest, is_keeper: bool, now: Instant, sender: str = ""
     ) -> QuotaReply:
         """Return the answer to another host's request.
 
@@ -329,6 +337,8 @@
         ----------
         is_keeper : bool
             Whether this host is the keeper; otherwise it charges nothing and says so.
+        sender : str
+            Address of the other host.
         """
         if not is_keeper:
             return QuotaReply(MESSAGE_FORMAT, request.number, False, False)
@@ -337,7 +347,7 @@
             request.cost,
             request.placement,
             now,
-            request.number,
+            (sender, request.number),
         )
 
     def _decide(
@@ -346,14 +356,15 @@
         cost: float,
         query: PlacementQuery | None,
         now: Instant,
-        number: int = 0,
+        key: RequestKey,
     ) -> QuotaReply:
+        _, number = key
         decided = self._keeper.decide(name, cost, now)
         if isinstance(decided, Err):
             retry_after_s = decided.err_value.retry_after_s
             left = self._keeper.measure_left(name, now)
             return QuotaReply(MESSAGE_FORMAT, number, True, False, retry_after_s, left)
-        advice = self._advise(query, now) if query is not None else None
+        advice = self._advise(query, key, now) if query is not None else None
         return QuotaReply(MESSAGE_FORMAT, number, True, True, placement=advice)
 
     def charge_local_admissions(self, heartbeat: Heartbeat, now: Instant) -> None:
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -163,15 +163,16 @@
             network.clock,
             random.Random(name),
             network.call_later,
+            lambda report, sender, now: None,
         )
         self.fetch_count = 0
         fetcher.fetch = self.note_fetch
         self.peers.connection_made(FakeTransport(network, address))
 
-    def note_fetch(self, address):
     def find_wait_ms(self):
         return self.peers.find_operator_wait_ms(self.clock.now())
 
+    def note_fetch(self, address):
         self.fetch_count += 1
 
 
--- a/libs/gateway/tests/test_placement_load.py
+++ b/libs/gateway/tests/test_placement_load.py
@@ -5,6 +5,7 @@
 idle, which makes the answers of all callers there late.
 """
 
+import heapq
 import random
 
 import attrs
@@ -12,10 +13,15 @@
 
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
 from waxwingbarrow.gateway._fleet import Fleet, Load
-from waxwingbarrow.gateway._messages import PlacementQuery
+from waxwingbarrow.gateway._messages import (
+    MESSAGE_FORMAT,
+    AttemptOutcome,
+    AttemptReport,
+    PlacementQuery,
+)
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
 from waxwingbarrow.gateway._peer_sync import ALL_OTHERS
-from waxwingbarrow.gateway._placements import TOTALS_LAG_MS, PlacementAdviser
+from waxwingbarrow.gateway._placements import PlacementAdviser
 from waxwingbarrow.routing import (
     PlacementPolicy,
     PromptPart,
@@ -23,6 +29,7 @@
     choose_worker,
 )
 
+HOST = "10.0.0.9"
 POOL = ServiceName("pool")
 CENTRES = ("a", "b", "c")
 ENGINES = 39
@@ -30,10 +37,14 @@
 PREFILL_TOKENS_PER_MS = 55.0
 OBJECTIVE_MS = 500.0
 SECONDS = 20
+# One heartbeat, one exchange between relays and one total.
+TOTALS_LAG_MS = 750
 # A quarter of what the engines can prefill.
 TOKENS_PER_MS = ENGINES * PREFILL_TOKENS_PER_MS / 4
 MEAN_PROMPT_TOKENS = 4_000
 MAX_PROMPT_TOKENS = 20_000
+# Time to the first event that does not depend on the prompt.
+FIXED_MS = 25.0
 
 
 @attrs.frozen
@@ -116,13 +127,37 @@
     )
 
 
+class Reports:
+    """First events that hosts are going to report to the adviser."""
+
+    def __init__(self, adviser):
+        self.adviser = adviser
+        self.pending = []
+
+    def add(self, at_ms, name, number):
+        heapq.heappush(self.pending, (at_ms + FIXED_MS, name, number))
+
+    def deliver(self, now_ms):
+        while self.pending and self.pending[0][0] <= now_ms:
+            at_ms, name, number = heapq.heappop(self.pending)
+            report(self.adviser, name, number, AttemptOutcome.FIRST_EVENT, at_ms)
+
+
+def report(adviser, name, number, outcome, at_ms=0, started_ms=0):
+    message = AttemptReport(MESSAGE_FORMAT, number, name, started_ms, outcome)
+    adviser.note_attempt(message, HOST, Instant(int(at_ms), int(at_ms)))
+
+
 def serve_by_advice(requests, rng):
     adviser, engines = make_adviser(make_fleet()), Engines()
-    waits_ms = []
-    for request in requests:
+    reports, waits_ms = Reports(adviser), []
+    for number, request in enumerate(requests):
+        reports.deliver(request.arrival_ms)
         query = make_query(request, rng.choice(CENTRES))
         now = Instant(request.arrival_ms, request.arrival_ms)
-        waits_ms.append(engines.run(adviser.advise(query, now).upstream, request))
+        name = adviser.advise(query, (HOST, number), now).upstream
+        waits_ms.append(engines.run(name, request))
+        reports.add(request.arrival_ms + waits_ms[-1], name, number)
     return waits_ms, engines
 
 
@@ -188,11 +223,12 @@
     """A refused request is not sent, so it must not delay the requests after it."""
     adviser = make_adviser(make_fleet())
     late = Request(0, 200_000, (PromptPart(1, 200_000),))
-    for _ in range(10 * ENGINES):
-        advice = adviser.advise(make_query(late, latest_start_ms=100.0), Instant(0, 0))
+    for number in range(10 * ENGINES):
+        query = make_query(late, latest_start_ms=100.0)
+        advice = adviser.advise(query, (HOST, number), Instant(0, 0))
         assert advice.start_ms > 100.0
     usual = Request(0, 1_000, (PromptPart(2, 1_000),))
-    advice = adviser.advise(make_query(usual), Instant(0, 0))
+    advice = adviser.advise(make_query(usual), (HOST, 0), Instant(0, 0))
     assert advice.start_ms == pytest.approx(1_000 / PREFILL_TOKENS_PER_MS, abs=0.1)
 
 
@@ -201,9 +237,112 @@
     adviser = make_adviser(make_fleet())
     request = Request(0, 1_000, ())
     avoided = [f"u{number}" for number in range(1, ENGINES)]
-    now = Instant(0, 0)
+
+    def advise(**fields):
+        query = make_query(request, **fields)
+        return adviser.advise(query, (HOST, 0), Instant(0, 0))
+
     for _ in range(5):
-        advice = adviser.advise(make_query(request, avoided_upstreams=avoided), now)
-        assert advice.upstream == "u0"
-    assert adviser.advise(make_query(request, version="v2"), now) is None
-    assert adviser.advise(make_query(request, excluded_versions=["v1"]), now) is None
+        assert advise(avoided_upstreams=avoided).upstream == "u0"
+    assert advise(version="v2") is None
+    assert advise(excluded_versions=["v1"]) is None
+
+
+@attrs.define
+class Deployment:
+    """Engines of different speed and the hosts that report first events.
+
+    Parameters
+    ----------
+    slow : dict
+        Times that an engine takes for a prompt, as a multiple of the usual one.
+    silent : set
+        Engines that never send anything.
+    """
+
+    slow: dict = attrs.Factory(dict)
+    silent: set = attrs.Factory(set)
+    adviser: PlacementAdviser = attrs.Factory(lambda: make_adviser(make_fleet()))
+    placed: list = attrs.Factory(list)
+
+    def run(self, start_s, seconds, rng):
+        """Send ten requests of 4,000 tokens per second and engine."""
+        free_at_ms, reports = {}, Reports(self.adviser)
+        interval_ms = 1000 / 10 / ENGINES
+        now_ms, number = start_s * 1000.0, len(self.placed)
+        while now_ms < (start_s + seconds) * 1000:
+            now_ms += interval_ms
+            number += 1
+            reports.deliver(now_ms)
+            request = Request(int(now_ms), 4_000, (PromptPart(number, 4_000),))
+            now = Instant(int(now_ms), int(now_ms))
+            query = make_query(request, rng.choice(CENTRES))
+            name = self.adviser.advise(query, (HOST, number), now).upstream
+            self.placed.append((now_ms, name))
+            if name in self.silent:
+                continue
+            start_ms = max(free_at_ms.get(name, 0.0), now_ms)
+            prefill_ms = 4_000 / PREFILL_TOKENS_PER_MS * self.slow.get(name, 1.0)
+            free_at_ms[name] = start_ms + prefill_ms
+            reports.add(free_at_ms[name], name, number)
+
+    def share(self, names, since_s):
+        """Return the part of the requests since a time that were placed at engines."""
+        recent = [name for at_ms, name in self.placed if at_ms >= since_s * 1000]
+        return sum(name in names for name in recent) / len(recent)
+
+
+def test_slow_engines_get_less_than_they_can_prefill():
+    """Guards against requests that queue at engines which turned slow."""
+    slow = {f"u{number}": 5.0 for number in range(6)}
+    deployment = Deployment(slow=slow)
+    rng = random.Random(1)
+    deployment.run(0, 12, rng)
+    # Ten requests a second need more than an engine of a fifth of the speed has.
+    could_prefill = 1000 / (4_000 / PREFILL_TOKENS_PER_MS * 5.0)
+    assert deployment.share(set(slow), 4) * 10 * ENGINES < len(slow) * could_prefill
+
+
+def test_engines_of_another_generation_are_not_taken_for_slow():
+    """Figures of one deployment must not make a host refuse requests of another."""
+    slow = {f"u{number}": 2.0 for number in range(ENGINES)}
+    deployment = Deployment(slow=slow)
+    deployment.run(0, 10, random.Random(1))
+    advice = deployment.adviser.advise(
+        make_query(Request(0, 20_000, ())), (HOST, 0), Instant(60_000, 60_000)
+    )
+    expected_ms = 2 * 20_000 / PREFILL_TOKENS_PER_MS
+    assert advice.start_ms == pytest.approx(expected_ms, rel=0.15)
+
+
+def test_silent_engines_are_avoided_within_two_seconds():
+    """Guards against hosts that each wait for the deadline to find a hung engine."""
+    silent = {f"u{number}" for number in range(4)}
+    deployment = Deployment(silent=silent)
+    deployment.run(0, 4, random.Random(1))
+    assert deployment.share(silent, 2) == 0.0
+
+
+def test_an_engine_that_answers_again_is_used_again():
+    silent = {f"u{number}" for number in range(4)}
+    deployment = Deployment(silent=silent)
+    rng = random.Random(1)
+    deployment.run(0, 4, rng)
+    deployment.silent = set()
+    deployment.run(4, 16, rng)
+    assert deployment.share(silent, 15) > 0.5 * len(silent) / ENGINES
+
+
+def test_an_engine_that_one_host_could_not_reach_is_avoided_by_all():
+    deployment = Deployment()
+    report(deployment.adviser, "u3", 0, AttemptOutcome.UNREACHABLE)
+    deployment.run(0, 0.5, random.Random(1))
+    assert deployment.share({"u3"}, 0) == 0.0
+
+
+def test_a_report_about_an_earlier_start_of_an_engine_is_ignored():
+    deployment = Deployment()
+    outcome = AttemptOutcome.UNREACHABLE
+    report(deployment.adviser, "u3", 0, outcome, started_ms=77)
+    deployment.run(0, 0.5, random.Random(1))
+    assert deployment.share({"u3"}, 0) > 0.0
--- a/libs/routing/src/waxwingbarrow/routing/__init__.py
+++ b/libs/routing/src/waxwingbarrow/routing/__init__.py
@@ -4,7 +4,7 @@
 upstream that the cloud reclaims.
 """
 
-from waxwingbarrow.routing._backlog import BacklogTracker
+from waxwingbarrow.routing._backlog import BacklogPolicy, BacklogTracker
 from waxwingbarrow.routing._blocks import hash_prefix
 from waxwingbarrow.routing._budget import RetryBudget
 from waxwingbarrow.routing._choice import choose_upstream, select_subset
@@ -44,6 +44,7 @@
 )
 
 __all__ = [
+    "BacklogPolicy",
     "BacklogTracker",
     "CacheEvent",
     "CacheEventKind",
--- a/libs/routing/src/waxwingbarrow/routing/_engines.py
+++ b/libs/routing/src/waxwingbarrow/routing/_engines.py
@@ -36,6 +36,8 @@
         Fraction of the recent requests that failed, 0 to 1.
     is_suspect : bool
         Whether the worker may have ended or may be unreachable.
+    slowdown : float
+        Time that the worker takes for a prompt, as a multiple of what the policy says.
     """
 
     upstream: UpstreamId
@@ -48,6 +50,7 @@
     cached_tokens: int = 0
     failure_rate: float = 0.0
     is_suspect: bool = False
+    slowdown: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -125,9 +128,8 @@
 ) -> float:
     """Return the estimated time until a slot is free and the prompt is prefilled."""
     prefill_tokens = max(request_size.prompt_tokens - view.cached_tokens, 0)
-    start_ms = (
-        view.pending_prefill_tokens + prefill_tokens
-    ) / policy.prefill_tokens_per_ms
+    tokens = view.pending_prefill_tokens + prefill_tokens
+    start_ms = view.slowdown * tokens / policy.prefill_tokens_per_ms
     excess_requests = view.running - view.slots + 1
     if excess_requests > 0:
         start_ms += excess_requests * policy.slot_wait_ms
--- a/libs/routing/src/waxwingbarrow/routing/_health.py
+++ b/libs/routing/src/waxwingbarrow/routing/_health.py
@@ -171,7 +171,10 @@
     ) -> UpstreamHealth | None:
         """Return the health of an incarnation; None if it departed or was replaced."""
         known = self._entries.get(upstream)
-        if known is not None and known[0] > incarnation:
+        if known is not None and known[0] == incarnation:
+            if upstream not in self._departed:
+                return known[1]
+        elif known is not None and known[0] > incarnation:
             return None
         departed = self._departed.get(upstream)
         if departed is not None and departed >= incarnation:
