Let a relay stand in for a keeper that does not answer

Ruled out: a faster change of the duties, which needs the store; larger shares, which exceed limits in a flood. Relays that know the demand of more than half of the hosts now decide in order of rank. What a deputy admits is part of the charges that it reports, so a frozen holder that wakes charges it; a test floods all hosts through such a freeze.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -322,7 +322,7 @@
     def _note_first_event(self, plan: Plan, upstream: Upstream, job: Job) -> None:
         now = self._clock.now()
         self._reporter.report(
-            upstream, plan.advice_number, AttemptOutcome.FIRST_EVENT, now
+            upstream, plan.advice_source, AttemptOutcome.FIRST_EVENT, now
         )
         self._note_execution_start(plan)
         job.pending_prefill_tokens = 0
@@ -460,7 +460,7 @@
                 reported = AttemptOutcome.FAILED
             case _:
                 return
-        self._reporter.report(upstream, plan.advice_number, reported, now)
+        self._reporter.report(upstream, plan.advice_source, reported, now)
 
     def _record_move(self, plan: Plan, upstream: Upstream) -> None:
         plan.delivered_attempts += 1
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -141,7 +141,7 @@
             self._quotas,
             self._keeper,
             clock,
-            lambda now: self._peer_protocol.find_keeper(now),
+            lambda now: self._peer_protocol.list_keepers(now),
             lambda request, address: self._peer_protocol.send_message(request, address),
             lambda query, key, now: self._placement_adviser.advise(query, key, now),
         )
@@ -189,7 +189,7 @@
             self._retry_budgets,
             AttemptReporter(
                 self._placement_adviser,
-                lambda now: self._peer_protocol.find_keeper(now),
+                lambda now: self._peer_protocol.list_keepers(now),
                 lambda report, address: self._peer_protocol.send_message(
                     report, address
                 ),
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -103,6 +103,9 @@
     operator_age_ms : int or None
         Time since the store confirmed that the sender knows the operator's topic up to
         its end offset; None if it has not.
+    deputies : list
+        Addresses of the relays that decide on quotas while the holder of the duties
+        does not answer, the preferred one first.
     """
 
     format: int
@@ -124,6 +127,7 @@
     eligibility: int = 1
     replacement: str = ""
     operator_age_ms: int | None = None
+    deputies: list[str] = []
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -62,6 +62,12 @@
 OPERATOR_WAIT_MS = 10_000
 # Relays vouch for the copies of other hosts, so they need answers more often.
 RELAY_OPERATOR_WAIT_MS = 1_000
+# A relay stands in for a silent holder of the duties only if it knows the demand of
+# more than this fraction of the known hosts, so that no two do in a partition.
+MIN_DEPUTY_COVERAGE = 0.5
+# A relay that was not heard for two exchanges no longer precedes another as deputy.
+DEPUTY_HEARD_MS = 1_250
+MAX_DEPUTIES = 2
 # The relay is chosen among the hosts that the newest total lists, unless that total is
 # older than this.
 MEMBER_LIST_MAX_AGE_MS = 10_000
@@ -158,7 +164,7 @@
                 self._handle_summary(summary, addr[0], now)
             case QuotaRequest() as request:
                 reply = self._quota_admission.answer(
-                    request, self._peer_sync.held_fencing_token > 0, now, addr[0]
+                    request, self.is_keeper(now), now, addr[0]
                 )
                 self.send_message(reply, addr[0])
             case QuotaReply() as reply:
@@ -280,17 +286,50 @@
             heard = self._last_total[0].host_count
         return min(heard / self._members.count_known(), 1.0)
 
-    def find_keeper(self, now: Instant) -> str | None:
-        """Return the address of the host that decides on quotas for all hosts.
+    def list_keepers(self, now: Instant) -> list[str]:
+        """Return the addresses of the hosts to ask for quota, the best one first.
 
-        It is "" if this host does, and None if each host decides by its own share of
-        the limits.
+        That is the holder of the duties, and the relays that stand in for it while it
+        does not answer. This host is "". The list is empty if each host decides by its
+        own share of the limits.
         """
         if self.is_full_mesh(now):
-            return None
+            return []
+        if self._peer_sync.held_fencing_token:
+            return [""]
+        holder = self._find_other_holder(now)
+        keepers = [] if holder is None else [holder]
+        if (
+            self._last_total is not None
+            and now.mono_ms - self._last_total[1] < SUMMARY_MAX_AGE_MS
+        ):
+            keepers += self._last_total[0].deputies
+        own = self._own.address[0]
+        is_keeper = self.is_keeper(now)
+        return [
+            "" if address == own else address
+            for address in dict.fromkeys(keepers)
+            if address != own or is_keeper
+        ]
+
+    def is_keeper(self, now: Instant) -> bool:
+        """Return whether this host decides on quotas when it is asked.
+
+        The holder of the duties does, and so does the first of the relays that know
+        the demand of most hosts, for the hosts that the holder does not answer.
+        """
         if self._peer_sync.held_fencing_token:
-            return ""
-        return self._find_other_holder(now)
+            return True
+        if not self._is_relay or self.measure_coverage(now) <= MIN_DEPUTY_COVERAGE:
+            return False
+        return self._list_deputies(now)[:1] == [self._own.address[0]]
+
+    def _list_deputies(self, now: Instant) -> list[str]:
+        """Return the addresses of the relays heard just now, the best one first."""
+        addresses = self._aggregator.list_heard_relays(now, DEPUTY_HEARD_MS)
+        addresses[self._own.host] = self._own.address[0]
+        ranked = rank_relays(addresses, self._directory.find_relay_mbps)
+        return [addresses[host] for host in ranked]
 
     # Outgoing messages
 
@@ -391,7 +430,10 @@
         replacement = "" if relay == self._own.host else str(relay)
         known_hosts = sorted({*own.members, str(self._own.host), str(relay)})
         total = msgspec.structs.replace(
-            total, members=known_hosts, replacement=replacement
+            total,
+            members=known_hosts,
+            replacement=replacement,
+            deputies=self._list_deputies(now)[:MAX_DEPUTIES],
         )
         self._apply_total(total, now)
         data = self._encode(total)
--- a/libs/gateway/src/waxwingbarrow/gateway/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_placements.py
@@ -24,7 +24,7 @@
     PlacementQuery,
 )
 from waxwingbarrow.gateway._model import Engine
-from waxwingbarrow.gateway._quota_admission import RequestKey
+from waxwingbarrow.gateway._quota_admission import AdviceSource, RequestKey
 from waxwingbarrow.routing import (
     BacklogPolicy,
     BacklogTracker,
@@ -149,8 +149,8 @@
     ----------
     adviser : PlacementAdviser
         Gets the reports while this host is the keeper.
-    find_keeper : callable
-        Returns the keeper's address; see `QuotaAdmission`.
+    list_keepers : callable
+        Returns the addresses of the keeper and its deputies; see `QuotaAdmission`.
     send : callable
         Sends a message to a host's address.
     """
@@ -158,32 +158,42 @@
     def __init__(
         self,
         adviser: PlacementAdviser,
-        find_keeper: Callable[[Instant], str | None],
+        list_keepers: Callable[[Instant], list[str]],
         send: Callable[[AttemptReport, str], None],
     ) -> None:
         self._adviser = adviser
-        self._find_keeper = find_keeper
+        self._list_keepers = list_keepers
         self._send = send
 
     def report(
-        self, upstream: Upstream, number: int, outcome: AttemptOutcome, now: Instant
+        self,
+        upstream: Upstream,
+        advice: AdviceSource | None,
+        outcome: AttemptOutcome,
+        now: Instant,
     ) -> None:
         """Report how far an attempt came.
 
         Parameters
         ----------
-        number : int
-            Number of the request to the keeper that advised the upstream; 0 if it did
-            not.
+        advice : AdviceSource or None
+            What the attempt followed. Other attempts are reported to the host that
+            would be asked now.
         """
-        address = self._find_keeper(now)
-        if address is None:
-            return
+        if advice is None:
+            keepers = self._list_keepers(now)
+            if not keepers:
+                return
+            advice = AdviceSource(keepers[0], 0)
         entry = upstream.entry
         report = AttemptReport(
-            MESSAGE_FORMAT, number, entry.upstream, entry.process_started_ms, outcome
+            MESSAGE_FORMAT,
+            advice.number,
+            entry.upstream,
+            entry.process_started_ms,
+            outcome,
         )
-        if address:
-            self._send(report, address)
+        if advice.keeper:
+            self._send(report, advice.keeper)
         else:
             self._adviser.note_attempt(report, "", now)
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -152,7 +152,7 @@
             return Refused(429, "over the limit", over.retry_after_s, inputs)
         admission = admitted.ok_value
         plan.charge = admission.charge
-        plan.advice, plan.advice_number = admission.advice, admission.number
+        plan.advice, plan.advice_source = admission.advice, admission.source
         return None
 
     def _make_query(self, plan: Plan, now: Instant) -> PlacementQuery | None:
@@ -253,7 +253,7 @@
         """
         advice, plan.advice = plan.advice, None
         if advice is None:
-            plan.advice_number = 0
+            plan.advice_source = None
             return None
         advised = [
             item
@@ -263,7 +263,7 @@
         ]
         plan.trace.is_advised = bool(advised)
         if not advised:
-            plan.advice_number = 0
+            plan.advice_source = None
             return None
         (view,) = self._fleet.view(advised, (), engine, now)
         return Placement(
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -5,7 +5,7 @@
 from waxwingbarrow.core import Instant, UpstreamId
 from waxwingbarrow.gateway._messages import PlacementAdvice
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Route
-from waxwingbarrow.gateway._quota_admission import Charge
+from waxwingbarrow.gateway._quota_admission import AdviceSource, Charge
 
 
 @attrs.define(eq=False)
@@ -67,8 +67,8 @@
         Where the cost was charged.
     advice : PlacementAdvice or None
         Where the quota keeper advised to send the first attempt.
-    advice_number : int
-        Identifies the advice that the current attempt follows; 0 if it follows none.
+    advice_source : AdviceSource or None
+        Where the advice that the current attempt follows comes from, if it follows one.
     began : bool
         Whether an upstream began to run it; otherwise its charge is refunded.
     may_have_run : bool
@@ -92,7 +92,7 @@
     trace: RequestTrace
     charge: Charge = Charge.NOWHERE
     advice: PlacementAdvice | None = None
-    advice_number: int = 0
+    advice_source: AdviceSource | None = None
     began: bool = False
     may_have_run: bool = False
     delivered_attempts: int = 0
--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
@@ -5,8 +5,11 @@
 cost of many requests, and admission by late totals exceeds the limit when an account
 floods all hosts. So one host, the quota keeper, counts exactly, and the others ask it
 for each request of an account with a limit. The keeper is the host that holds the
-duties. A host that gets no answer decides by its own share and reports later what it
-admitted. The keeper also advises on the placement of requests to model engines, see
+duties. While it does not answer, as after its loss, a relay stands in for it as the
+deputy. A host that gets no answer from either decides by its own share. Deputies and
+such hosts report later what they admitted.
+
+The keeper also advises on the placement of requests to model engines, see
 `PlacementAdviser`; requests without a limit are sent to it only for that.
 """
 
@@ -39,6 +42,11 @@
 # A host that did not answer as the keeper is not asked again for this long, so that a
 # keeper that is down delays only a few requests.
 KEEPER_RETRY_MS = 1_000
+# A deputy that was not asked for this long estimates again what is left of the limits,
+# as another host has decided since.
+DEPUTY_IDLE_MS = 2_000
+# Hosts that a request asks at the most before the own share decides.
+MAX_ASKED = 2
 # Number of requests to the keeper that are remembered, so that a grant that comes too
 # late is refunded. They cover many seconds.
 MAX_PENDING = 2_000
@@ -79,15 +87,30 @@
     def __init__(self, quotas: Quotas) -> None:
         self._quotas = quotas
         self._buckets: dict[AccountId, _AccountBucket] = {}
+        # Monotonic time of the last decision or report.
+        self._used_ms = 0
 
     def decide(
         self, name: AccountId, cost: float, now: Instant
     ) -> Result[None, RateLimited]:
-        """Charge a request from any host; accounts without a limit are not charged."""
+        """Charge a request from any host; accounts without a limit are not charged.
+
+        What is admitted counts as charged by this host, so that another keeper that
+        learns of it charges it too.
+        """
+        self._note_use(now)
         entry = self._find_bucket(name, now)
         if entry is None:
             return Ok(None)
-        return entry.bucket.try_take(cost, now)
+        taken = entry.bucket.try_take(cost, now)
+        if taken.is_ok():
+            self._quotas.note_grant(name, cost)
+        return taken
+
+    def _note_use(self, now: Instant) -> None:
+        if now.mono_ms - self._used_ms > DEPUTY_IDLE_MS:
+            self.reset()
+        self._used_ms = now.mono_ms
 
     def measure_left(self, name: AccountId, now: Instant) -> float:
         """Return what is left of an account's limit; negative if it is overdrawn."""
@@ -106,6 +129,7 @@
             report charges nothing, because the estimate with which the count of the
             limit started includes it.
         """
+        self._note_use(now)
         entry = self._find_bucket(name, now)
         if entry is None:
             return
@@ -119,6 +143,7 @@
         entry = self._find_bucket(name, now)
         if entry is not None:
             entry.bucket.adjust_level(cost, now)
+            self._quotas.refund_grant(name, cost)
 
     def reset(self) -> None:
         """Discard all state, because another host decides now."""
@@ -191,6 +216,22 @@
     OWN_KEEPER = enum.auto()
 
 
+@attrs.frozen
+class AdviceSource:
+    """Identifies an advice in later reports.
+
+    Parameters
+    ----------
+    keeper : str
+        Address of the host that gave it; "" for this host.
+    number : int
+        Number of the request to it.
+    """
+
+    keeper: str
+    number: int
+
+
 @attrs.frozen
 class Admission:
     """Admission of a request.
@@ -198,14 +239,14 @@
     Parameters
     ----------
     advice : PlacementAdvice or None
-        Where the keeper advises to send it; None if no keeper was asked.
-    number : int
-        Identifies the advice in reports to the keeper.
+        Where the keeper advises to send it; None if it does not.
+    source : AdviceSource or None
+        Where the advice comes from.
     """
 
     charge: Charge
     advice: PlacementAdvice | None = None
-    number: int = 0
+    source: AdviceSource | None = None
 
 
 @attrs.frozen
@@ -232,9 +273,9 @@
 
     Parameters
     ----------
-    find_keeper : callable
-        Returns the keeper's address; None if no keeper is known, "" if this host is
-        the keeper.
+    list_keepers : callable
+        Returns the addresses of the keeper and its deputies, in the order in which
+        they are asked; "" is this host.
     send : callable
         Sends a message to a host's address.
     advise : callable
@@ -246,7 +287,7 @@
         quotas: Quotas,
         keeper: QuotaKeeper,
         clock: Clock,
-        find_keeper: Callable[[Instant], str | None],
+        list_keepers: Callable[[Instant], list[str]],
         send: Callable[[QuotaRequest, str], None],
         advise: Callable[[PlacementQuery, RequestKey, Instant], Advice] = (
             lambda query, key, now: None
@@ -255,7 +296,7 @@
         self._quotas = quotas
         self._keeper = keeper
         self._clock = clock
-        self._find_keeper = find_keeper
+        self._list_keepers = list_keepers
         self._send = send
         self._advise = advise
         self._last_number = 0
@@ -280,27 +321,42 @@
         limited = account if account is not None and cost > 0 else None
         if limited is None and query is None:
             return Ok(Admission(Charge.NOWHERE))
-        address = self._find_keeper(now)
-        if address is None or self._avoided_until_ms.get(address, 0) > now.mono_ms:
-            return self._admit_by_share(limited, cost, now)
         name = limited.name if limited is not None else AccountId("")
-        if not address:
-            self._last_number += 1
-            key = ("", self._last_number)
-            reply: QuotaReply | None = self._decide(name, cost, query, now, key)
-            charge, decided_by = Charge.OWN_KEEPER, "keeper"
-        else:
-            reply = await self._ask(name, cost, query, address)
-            charge, decided_by = Charge.OTHER_KEEPER, address
-            now = self._clock.now()
-        if reply is None:
-            return self._admit_by_share(limited, cost, now)
+        keepers = [
+            address
+            for address in self._list_keepers(now)
+            if self._avoided_until_ms.get(address, 0) <= now.mono_ms
+        ]
+        for address in keepers[:MAX_ASKED]:
+            if not address:
+                self._last_number += 1
+                key = ("", self._last_number)
+                reply: QuotaReply | None = self._decide(name, cost, query, now, key)
+            else:
+                reply = await self._ask(name, cost, query, address)
+                now = self._clock.now()
+            if reply is not None:
+                return self._apply_reply(limited, cost, reply, address, now)
+        return self._admit_by_share(limited, cost, now)
+
+    def _apply_reply(
+        self,
+        limited: Account | None,
+        cost: float,
+        reply: QuotaReply,
+        address: str,
+        now: Instant,
+    ) -> Result[Admission, OverLimit]:
         if limited is None:
-            return Ok(Admission(Charge.NOWHERE, reply.placement, reply.number))
-        self._quotas.note_keeper_decision(limited, cost, reply.admitted, now)
-        if not reply.admitted:
-            return Err(OverLimit(reply.retry_after_s, decided_by, reply.left))
-        return Ok(Admission(charge, reply.placement, reply.number))
+            charge = Charge.NOWHERE
+        else:
+            self._quotas.note_keeper_decision(limited, cost, reply.admitted, now)
+            if not reply.admitted:
+                decided_by = address or "keeper"
+                return Err(OverLimit(reply.retry_after_s, decided_by, reply.left))
+            charge = Charge.OTHER_KEEPER if address else Charge.OWN_KEEPER
+        source = AdviceSource(address, reply.number)
+        return Ok(Admission(charge, reply.placement, source))
 
     def _admit_by_share(
         self, account: Account | None, cost: float, now: Instant
--- a/libs/gateway/src/waxwingbarrow/gateway/_quotas.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quotas.py
@@ -396,6 +396,15 @@
             if is_admitted:
                 quota.total.adjust_level(-cost, now)
 
+    def note_grant(self, name: AccountId, cost: float) -> None:
+        """Record what this host admitted as the quota keeper, for any host.
+
+        It is part of the charges that this host reports to another keeper.
+        """
+        quota = self._quotas.get(name)
+        if quota is not None:
+            quota.charged += cost
+
     def refund_grant(self, name: AccountId, cost: float) -> None:
         """Refund what the quota keeper charged for a request that did not run.
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -186,6 +186,14 @@
                 addresses.setdefault(centre, []).append(address)
         return addresses
 
+    def list_heard_relays(self, now: Instant, max_age_ms: int) -> dict[HostId, str]:
+        """Return the addresses of the other relays heard within a time, by host."""
+        return {
+            HostId(summary.relay): address
+            for summary, address, received_ms in self._summaries.values()
+            if now.mono_ms - received_ms < max_age_ms
+        }
+
     def list_eligibility(self, now: Instant) -> dict[HostId, int]:
         """Return the eligibility of the other relays; see `DutyEligibility`."""
         return {
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -145,7 +145,7 @@
             quotas,
             QuotaKeeper(quotas),
             network.clock,
-            lambda now: self.peers.find_keeper(now),
+            lambda now: self.peers.list_keepers(now),
             lambda request, address: self.peers.send_message(request, address),
         )
         own = Member(host, (address, PORT), centre, 1, None, 0, self.relay_mbps)
--- a/libs/gateway/tests/test_peers.py
+++ b/libs/gateway/tests/test_peers.py
@@ -11,6 +11,7 @@
 from waxwingbarrow.gateway._candidates import Candidacy
 from waxwingbarrow.gateway._peers import RELAY_INTERVAL_S
 from waxwingbarrow.gateway._ports import Topic
+from waxwingbarrow.gateway._quota_admission import MAX_ASKED
 
 ACCOUNT = AccountId("depot")
 
@@ -95,9 +96,54 @@
     holder.peer_sync.held_fencing_token = 9
     network.run(6)
     now = network.clock.now()
-    found = {host.peers.find_keeper(now) for host in network.hosts.values()}
+    found = {host.peers.list_keepers(now)[0] for host in network.hosts.values()}
     assert found == {"", holder.address}
-    assert holder.peers.find_keeper(now) == ""
+    assert holder.peers.list_keepers(now) == [""]
+
+
+def list_deciders(network):
+    """Return the hosts that decide on quotas when they are asked."""
+    now = network.clock.now()
+    return [
+        host
+        for host in network.hosts.values()
+        if host.address not in network.down and host.peers.is_keeper(now)
+    ]
+
+
+def test_a_deputy_decides_on_quota_soon_after_the_holder_is_lost():
+    """Guards against seconds in which hosts refuse requests within the limits.
+
+    A new holder of the duties acts only after several seconds.
+    """
+    network = Network(5, 15)
+    network.run(9)
+    name = make_holder(network)
+    network.run(4)
+    holder = network.hosts[name]
+    assert {holder} <= set(list_deciders(network))
+    network.fail(name)
+    network.run(3)
+    (deputy,) = list_deciders(network)
+    now = network.clock.now()
+    for host in network.hosts.values():
+        if host.address not in network.down and host.centre != holder.centre:
+            own = "" if host is deputy else deputy.address
+            assert own in host.peers.list_keepers(now)[:MAX_ASKED]
+
+
+def test_no_deputy_decides_in_the_smaller_part_of_a_partition():
+    """Guards against two hosts that both admit the whole limit."""
+    network = Network(5, 15)
+    network.run(9)
+    names = list(network.hosts)
+    for name in names[:30]:
+        for other in names[30:]:
+            network.cut(name, other)
+    network.run(12)
+    deciders = list_deciders(network)
+    assert len(deciders) == 1
+    assert deciders[0].centre in {"dc2", "dc3", "dc4"}
 
 
 def test_hosts_of_a_small_deployment_decide_on_quota_by_themselves():
@@ -106,7 +152,7 @@
     now = network.clock.now()
     next(iter(network.hosts.values())).peer_sync.held_fencing_token = 9
     network.run(3)
-    assert {h.peers.find_keeper(now) for h in network.hosts.values()} == {None}
+    assert all(host.peers.list_keepers(now) == [] for host in network.hosts.values())
 
 
 def test_hosts_with_fast_links_are_the_relays():
--- a/libs/gateway/tests/test_quota_admission.py
+++ b/libs/gateway/tests/test_quota_admission.py
@@ -52,14 +52,16 @@
         self.quotas.set_accounts([make_account()], fleet.count, fleet.clock.now())
         self.keeper = QuotaKeeper(self.quotas)
         self.quota_admission = QuotaAdmission(
-            self.quotas, self.keeper, fleet.clock, self.find_keeper, self.send
+            self.quotas, self.keeper, fleet.clock, self.list_keepers, self.send
         )
 
-    def find_keeper(self, now):
-        keeper = self.fleet.keeper
-        if keeper is None:
-            return None
-        return "" if keeper is self else keeper.address
+    def list_keepers(self, now):
+        keepers = [self.fleet.keeper, self.fleet.deputy]
+        return [
+            "" if keeper is self else keeper.address
+            for keeper in keepers
+            if keeper is not None
+        ]
 
     def send(self, ask, address):
         asyncio.get_running_loop().call_soon(self.fleet.deliver, self, ask, address)
@@ -70,6 +72,8 @@
         self.clock = ManualClock()
         self.count = count
         self.keeper = None
+        self.deputy = None
+        self.silent = set()
         self.partitioned = set()
         self.lose_replies = False
         self.admitted = []
@@ -81,7 +85,9 @@
         receiver = next(h for h in self.hosts if h.address == address)
         if (sender in self.partitioned) != (receiver in self.partitioned):
             return
-        is_keeper = receiver is self.keeper
+        if receiver in self.silent:
+            return
+        is_keeper = receiver in (self.keeper, self.deputy)
         reply = receiver.quota_admission.answer(ask, is_keeper, self.clock.now())
         if not self.lose_replies:
             sender.quota_admission.handle_quota_reply(reply)
@@ -189,6 +195,39 @@
     assert fleet.max_in_window() <= ALLOWED_TOKENS
 
 
+def test_a_flood_stays_under_the_limit_while_a_deputy_stands_in():
+    """Guards against a whole second limit from a keeper that was frozen."""
+    fleet = Fleet()
+    fleet.keeper, fleet.deputy = fleet.hosts[3], fleet.hosts[9]
+    rng = random.Random(3)
+
+    async def run_load():
+        await fleet.run_load(10, 0.6 * RATE_PER_S, rng)
+        await fleet.run_load(3, 4 * RATE_PER_S, rng)
+        fleet.silent = {fleet.keeper}
+        await fleet.run_load(4, 4 * RATE_PER_S, rng)
+        fleet.silent = set()
+        await fleet.run_load(8, 4 * RATE_PER_S, rng)
+
+    asyncio.run(run_load())
+    assert fleet.max_in_window() <= ALLOWED_TOKENS
+
+
+def test_large_requests_within_the_limit_are_admitted_while_a_deputy_stands_in():
+    """Guards against refusals within the limit while no host holds the duties."""
+    fleet = Fleet()
+    fleet.keeper, fleet.deputy = fleet.hosts[3], fleet.hosts[9]
+    rng = random.Random(5)
+
+    async def run_load():
+        await fleet.run_load(5, 0.6 * RATE_PER_S, rng, LARGE_COST)
+        fleet.silent = {fleet.keeper}
+        await fleet.run_load(10, 0.6 * RATE_PER_S, rng, LARGE_COST)
+
+    asyncio.run(run_load())
+    assert fleet.refused == 0
+
+
 def test_a_new_keeper_does_not_charge_what_was_admitted_long_ago():
     # The first report to a new keeper contains all charges since the host's start.
     fleet = Fleet(count=20)
