Order lost workers again at once

Ruled out: on-demand workers at once, which are needless where the reclaimable ones can be had again. Workers that were ready since the last order and are ready no longer are ordered again; if that is refused, on-demand workers replace them at the next step.

--- a/libs/capacity/src/waxwingbarrow/capacity/_worker_scaling.py
+++ b/libs/capacity/src/waxwingbarrow/capacity/_worker_scaling.py
@@ -61,11 +61,21 @@
         Number of workers in the last accepted order, and its time.
     refused_at : mapping
         Time of the last refusal, if no order was accepted since then.
+    most_ready : mapping
+        Largest number of ready workers since the last accepted order.
     """
 
     ready: Mapping[WorkerPool, int]
     ordered: Mapping[WorkerPool, tuple[int, Instant]]
     refused_at: Mapping[WorkerPool, Instant]
+    most_ready: Mapping[WorkerPool, int] = attrs.Factory(dict)
+
+    def has_lost_workers(self, pool: WorkerPool) -> bool:
+        """Return whether ordered workers that were ready no longer are."""
+        ordered = self.ordered.get(pool)
+        if ordered is None:
+            return False
+        return self.count(pool) < min(ordered[0], self.most_ready.get(pool, 0))
 
     def count(self, pool: WorkerPool) -> int:
         """Return the number of ready workers of a data centre and kind."""
@@ -257,10 +267,16 @@
     policy: ScalingPolicy,
     now: Instant,
 ) -> int:
-    """Return how many reclaimable workers are ordered and still within boot time."""
+    """Return how many reclaimable workers are ordered and still within boot time.
+
+    Workers that have just been lost count as starting, because they are ordered again.
+    If that is refused, on-demand workers replace them at the next step.
+    """
     starting = 0
     for pool, (count, ordered_at) in state.ordered.items():
-        is_starting = _age_s(ordered_at, now) <= need.boot_s + policy.boot_margin_s
+        age_s = _age_s(ordered_at, now)
+        is_starting = age_s <= need.boot_s + policy.boot_margin_s
+        is_starting = is_starting or state.has_lost_workers(pool)
         if pool.reclaimable and is_starting and pool not in state.refused_at:
             starting += max(min(count, desired.get(pool, 0)) - state.count(pool), 0)
     return starting
@@ -299,6 +315,8 @@
         return ScalingOrder(pool, count, "first order")
     if ordered[0] != count:
         return ScalingOrder(pool, count, f"{ordered[0]} ordered before")
+    if state.has_lost_workers(pool):
+        return ScalingOrder(pool, count, f"{ready} are left")
     overdue = _age_s(ordered[1], now) > need.boot_s + policy.boot_margin_s
     if ready != count and overdue:
         return ScalingOrder(pool, count, f"{ready} are ready")
--- a/libs/capacity/tests/test_worker_scaling.py
+++ b/libs/capacity/tests/test_worker_scaling.py
@@ -124,6 +124,54 @@
         assert remaining >= NEED.busy_workers
 
 
+def make_reclaimed(lost, seconds_since_order):
+    """Return a state in which workers that were ready were reclaimed at once."""
+    desired = compute_desired_workers(NEED, POLICY)
+    ordered_ms = NOW.mono_ms - int(seconds_since_order * 1000)
+    ordered_at = Instant(ordered_ms, ordered_ms)
+    ready = {
+        pool: 0 if pool in {WorkerPool(centre, True) for centre in lost} else count
+        for pool, count in desired.items()
+    }
+    return ScalingState(
+        ready=ready,
+        ordered={pool: (count, ordered_at) for pool, count in desired.items()},
+        refused_at={},
+        most_ready=desired,
+    )
+
+
+@pytest.mark.parametrize("seconds_since_order", [1, 60])
+def test_a_reclaim_wave_is_answered_at_once(seconds_since_order):
+    """Pattern: a wave takes all reclaimable workers of some data centres.
+
+    Guards against lost workers that count as starting because they were ordered a
+    moment before, so that nothing replaces them for seconds.
+    """
+    state = make_reclaimed((A, B, C), seconds_since_order)
+    orders = plan_scaling(NEED, state, POLICY, NOW)
+    assert {order.pool for order in orders} >= {WorkerPool(c, True) for c in (A, B, C)}
+    # They may be available; on-demand workers are ordered if they are not.
+    assert all(order.pool.reclaimable for order in orders)
+    refused_at = {order.pool: NOW for order in orders}
+    now = NOW.plus_ms(250)
+    refused = attrs.evolve(state, refused_at=refused_at)
+    replacing = [o for o in plan_scaling(NEED, refused, POLICY, now)]
+    on_demand = sum(o.count for o in replacing if not o.pool.reclaimable)
+    remaining = sum(state.ready.values())
+    assert on_demand + remaining >= NEED.busy_workers
+
+
+def test_workers_that_are_returned_do_not_count_as_lost():
+    pool = WorkerPool(A, True)
+    desired = compute_desired_workers(NEED, POLICY)
+    state = make_steady_state()
+    most_ready = {**desired, pool: desired[pool] + 3}
+    assert not plan_scaling(
+        NEED, attrs.evolve(state, most_ready=most_ready), POLICY, NOW
+    )
+
+
 def test_starting_workers_are_not_also_ordered_as_on_demand_ones():
     # Guards against paying twice for the same capacity: all reclaimable workers are
     # lost, those of A, B and C are starting again, and D has refused the order.
--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
@@ -59,6 +59,8 @@
         and whether the workers are reclaimable.
     refused_at : dict
         Time of the last refusal, by cell, if no order was accepted since.
+    most_ready : dict
+        Largest number of ready workers since the last accepted order, by cell.
     recent_needs : list
         Times and needed numbers of workers within the last `PEAK_WINDOW_S` seconds.
     first_at : Instant or None
@@ -71,6 +73,7 @@
 
     ordered: dict[WorkerPool, tuple[int, Instant]] = attrs.Factory(dict)
     refused_at: dict[WorkerPool, Instant] = attrs.Factory(dict)
+    most_ready: dict[WorkerPool, int] = attrs.Factory(dict)
     recent_needs: list[tuple[Instant, float]] = attrs.Factory(list)
     first_at: Instant | None = None
     initial_workers: int = 0
@@ -142,10 +145,15 @@
                 continue
             orders = self._orders.setdefault(service.name, _ServiceOrders())
             need = self._measure_need(service, orders, now)
+            ready = self._count_ready(service.name)
+            for pool, count in ready.items():
+                most_ready = max(orders.most_ready.get(pool, 0), count)
+                orders.most_ready[pool] = most_ready
             state = ScalingState(
-                ready=self._count_ready(service.name),
+                ready=ready,
                 ordered=orders.ordered,
                 refused_at=orders.refused_at,
+                most_ready=orders.most_ready,
             )
             if need is None:
                 continue
@@ -239,6 +247,7 @@
                     pass
         else:
             orders.ordered[pool] = (order.count, now)
+            orders.most_ready.pop(pool, None)
             orders.refused_at.pop(pool, None)
         logger.info(
             "workers ordered",
