--- a/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
@@ -13,7 +13,6 @@
     Channel,
     ConnectError,
 )
-from waxwingbarrow.gateway._fleet import Upstream
 from waxwingbarrow.gateway._http_heads import write_request_head
 from waxwingbarrow.gateway._model import (
     Call,
@@ -22,6 +21,7 @@
     ResponseMetadata,
 )
 from waxwingbarrow.gateway._ports import Codec
+from waxwingbarrow.gateway._upstreams import Upstream
 
 # Number of connections that an attempt tries to send on. The upstream may have closed
 # an idle connection; then the next one is tried.
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -23,7 +23,7 @@
 from waxwingbarrow.gateway._channels import BrokenError
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
-from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
+from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._http_heads import get_reason_phrase
 from waxwingbarrow.gateway._messages import AttemptOutcome
 from waxwingbarrow.gateway._metrics import Metrics
@@ -41,6 +41,7 @@
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._retry_budgets import RetryBudgets
 from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.gateway._upstreams import Job, Upstream
 from waxwingbarrow.gateway._usage import UsageCounter
 from waxwingbarrow.routing import Placement
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -39,7 +39,8 @@
 from waxwingbarrow.gateway._placements import AttemptReporter, PlacementAdviser
 from waxwingbarrow.gateway._planner import Planner
 from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic, describe_failure
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission, QuotaKeeper
+from waxwingbarrow.gateway._quota_admission import QuotaAdmission
+from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._relays import compute_relay_mbps
 from waxwingbarrow.gateway._replica import Replica
--- a/libs/gateway/src/waxwingbarrow/gateway/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_moves.py
@@ -14,13 +14,14 @@
 from waxwingbarrow.gateway._attempts import Moved
 from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._channels import ChannelError
-from waxwingbarrow.gateway._fleet import Fleet, Job, Upstream
+from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._http_heads import write_request_head
 from waxwingbarrow.gateway._model import Engine
 from waxwingbarrow.gateway._planner import Planner
 from waxwingbarrow.gateway._plans import Plan
 from waxwingbarrow.gateway._ports import Codec, MoveState
 from waxwingbarrow.gateway._retry_budgets import RetryBudgets
+from waxwingbarrow.gateway._upstreams import Job, Upstream
 from waxwingbarrow.routing import (
     ReclaimPolicy,
     ReclaimStep,
--- a/libs/gateway/src/waxwingbarrow/gateway/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_placements.py
@@ -15,7 +15,7 @@
 from result import Err
 
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
-from waxwingbarrow.gateway._fleet import Fleet, Upstream
+from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import (
     MESSAGE_FORMAT,
     AttemptOutcome,
@@ -25,6 +25,7 @@
 )
 from waxwingbarrow.gateway._model import Engine
 from waxwingbarrow.gateway._quota_admission import AdviceSource, RequestKey
+from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.routing import (
     BacklogPolicy,
     BacklogTracker,
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -9,7 +9,7 @@
 
 from waxwingbarrow.core import Instant, ServiceName
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._fleet import Fleet, Upstream
+from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import PlacementQuery
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Engine, Route
 from waxwingbarrow.gateway._plans import Plan, Refused, RequestTrace
@@ -18,6 +18,7 @@
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._rollouts import Rollouts, VersionRule
 from waxwingbarrow.gateway._routes import NoAccount, NoRoute, RouteMatch, RouteTable
+from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.gateway._work_meter import WorkMeter, estimate_work_ms
 from waxwingbarrow.routing import Placement, PlacementPolicy, RequestSize, choose_worker
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
@@ -21,7 +21,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from waxwingbarrow.core import AccountId, Clock, HostId, Instant, RateLimited
+from waxwingbarrow.core import AccountId, Clock, HostId, Instant
 from waxwingbarrow.gateway._messages import (
     MESSAGE_FORMAT,
     Heartbeat,
@@ -31,8 +31,8 @@
     QuotaRequest,
 )
 from waxwingbarrow.gateway._model import Account
+from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.limits import TokenBucket
 
 logger = logging.getLogger("waxwingbarrow.gateway.grants")
 
@@ -42,9 +42,6 @@
 # A host that did not answer as the keeper is not asked again for this long, so that a
 # keeper that is down delays only a few requests.
 KEEPER_RETRY_MS = 1_000
-# A deputy that was not asked for this long estimates again what is left of the limits,
-# as another host has decided since.
-DEPUTY_IDLE_MS = 2_000
 # Hosts that a request asks at the most before the own share decides.
 MAX_ASKED = 2
 # Number of requests to the keeper that are remembered, so that a grant that comes too
@@ -54,128 +51,6 @@
 Advice = PlacementAdvice | None
 # Address of the host that asks, empty for the keeper itself, and its number.
 RequestKey = tuple[str, int]
-# A host and the wall time in ms at which its process started.
-Origin = tuple[HostId, int]
-
-
-@attrs.define
-class _AccountBucket:
-    """What is left of one account's limit, counted exactly by the keeper.
-
-    Parameters
-    ----------
-    rate_per_s, burst : float
-        The limit in force, in tokens or requests.
-    admitted_by_host : dict
-        What each host has admitted by its own share since its start, as last reported.
-    """
-
-    rate_per_s: float
-    burst: float
-    bucket: TokenBucket
-    admitted_by_host: dict[Origin, float] = attrs.Factory(dict)
-
-
-class QuotaKeeper:
-    """Decides on quotas for all hosts while this host holds the duties.
-
-    The count of each limit starts at this host's estimate of what is left of it. Hosts
-    that cannot be reached use their parts of the limits, so these parts are not
-    available here.
-    """
-
-    def __init__(self, quotas: Quotas) -> None:
-        self._quotas = quotas
-        self._buckets: dict[AccountId, _AccountBucket] = {}
-        # Monotonic time of the last decision or report.
-        self._used_ms = 0
-
-    def decide(
-        self, name: AccountId, cost: float, now: Instant
-    ) -> Result[None, RateLimited]:
-        """Charge a request from any host; accounts without a limit are not charged.
-
-        What is admitted counts as charged by this host, so that another keeper that
-        learns of it charges it too.
-        """
-        self._note_use(now)
-        entry = self._find_bucket(name, now)
-        if entry is None:
-            return Ok(None)
-        taken = entry.bucket.try_take(cost, now)
-        if taken.is_ok():
-            self._quotas.note_grant(name, cost)
-        return taken
-
-    def _note_use(self, now: Instant) -> None:
-        if now.mono_ms - self._used_ms > DEPUTY_IDLE_MS:
-            self.reset()
-        self._used_ms = now.mono_ms
-
-    def measure_left(self, name: AccountId, now: Instant) -> float:
-        """Return what is left of an account's limit; negative if it is overdrawn."""
-        entry = self._find_bucket(name, now)
-        return 0.0 if entry is None else round(entry.bucket.measure_level(now))
-
-    def charge_local_admissions(
-        self, name: AccountId, origin: Origin, taken: float, now: Instant
-    ) -> None:
-        """Charge what a host has admitted by its own share.
-
-        Parameters
-        ----------
-        taken : float
-            What the host has admitted by its own share since its start. Its first
-            report charges nothing, because the estimate with which the count of the
-            limit started includes it.
-        """
-        self._note_use(now)
-        entry = self._find_bucket(name, now)
-        if entry is None:
-            return
-        known = entry.admitted_by_host.get(origin, taken)
-        entry.admitted_by_host[origin] = taken
-        if taken != known:
-            entry.bucket.adjust_level(known - taken, now)
-
-    def refund(self, name: AccountId, cost: float, now: Instant) -> None:
-        """Refund the charge of a request that did not run."""
-        entry = self._find_bucket(name, now)
-        if entry is not None:
-            entry.bucket.adjust_level(cost, now)
-            self._quotas.refund_grant(name, cost)
-
-    def reset(self) -> None:
-        """Discard all state, because another host decides now."""
-        self._buckets.clear()
-
-    def _find_bucket(self, name: AccountId, now: Instant) -> _AccountBucket | None:
-        limit = self._quotas.find_limit(name, now)
-        if limit is None:
-            self._buckets.pop(name, None)
-            return None
-        entry = self._buckets.get(name)
-        if entry is None or (entry.rate_per_s, entry.burst) != (
-            limit.rate_per_s,
-            limit.burst,
-        ):
-            bucket = TokenBucket(limit.rate_per_s, limit.burst / limit.rate_per_s, now)
-            if entry is None:
-                # The estimate also counts refused requests, so it may be far too low;
-                # a debt in it is ignored.
-                bucket.adjust_level(max(limit.level, 0.0) - bucket.capacity, now)
-                admitted_by_host = {}
-            else:
-                # What was used under the old limit is charged to the new one.
-                used = entry.bucket.capacity - entry.bucket.measure_level(now)
-                bucket.adjust_level(-used, now)
-                admitted_by_host = entry.admitted_by_host
-            entry = _AccountBucket(
-                limit.rate_per_s, limit.burst, bucket, admitted_by_host
-            )
-            self._buckets[name] = entry
-        entry.bucket.set_rate(limit.rate_per_s * limit.reachable_fraction, now)
-        return entry
 
 
 @attrs.define
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -9,7 +9,8 @@
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._peers import PeerProtocol
 from waxwingbarrow.gateway._ports import Topic
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission, QuotaKeeper
+from waxwingbarrow.gateway._quota_admission import QuotaAdmission
+from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._replica import Replica
 from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
--- a/libs/gateway/tests/test_change_applier.py
+++ b/libs/gateway/tests/test_change_applier.py
@@ -23,7 +23,8 @@
 from waxwingbarrow.gateway._follower import StoreHealth
 from waxwingbarrow.gateway._members import Members
 from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission, QuotaKeeper
+from waxwingbarrow.gateway._quota_admission import QuotaAdmission
+from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._replica import Change, Replica
 from waxwingbarrow.gateway._rollouts import Rollouts
--- a/libs/gateway/tests/test_placement_load.py
+++ b/libs/gateway/tests/test_placement_load.py
@@ -12,7 +12,7 @@
 import pytest
 
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
-from waxwingbarrow.gateway._fleet import Fleet, Load
+from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import (
     MESSAGE_FORMAT,
     AttemptOutcome,
@@ -22,6 +22,7 @@
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
 from waxwingbarrow.gateway._peer_sync import ALL_OTHERS
 from waxwingbarrow.gateway._placements import PlacementAdviser
+from waxwingbarrow.gateway._upstreams import Load
 from waxwingbarrow.routing import (
     PlacementPolicy,
     PromptPart,
--- a/libs/gateway/tests/test_quota_admission.py
+++ b/libs/gateway/tests/test_quota_admission.py
@@ -17,7 +17,8 @@
     QuotaRequest,
 )
 from waxwingbarrow.gateway._model import Account
-from waxwingbarrow.gateway._quota_admission import Charge, QuotaAdmission, QuotaKeeper
+from waxwingbarrow.gateway._quota_admission import Charge, QuotaAdmission
+from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway._quotas import Quotas
 
 NAME = AccountId("large")
