--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
@@ -325,7 +325,7 @@
             now = self._clock.now()
             self._avoided_until_ms[address] = now.mono_ms + KEEPER_RETRY_MS
             logger.warning(
-                "quota not granted in time; deciding by the own share",
+                "quota not granted in time",
                 extra={"keeper": address, "account": name},
             )
             return None
