Let only the holder of the duties decide a rollout whose time is over

The holder, which has all counts, may record the completion at the same moment; the platform then stops the old workers while all hosts exclude the new version, and a later holder, which did not know the recorded state, recorded the withdrawal over it. Hosts now withdraw by themselves only for a fault that the counts show. A new holder reads the recorded states before it acts, and reads back what it records, so that the other hosts fetch it. Before: two of the five new tests fail on the old decision; after: all pass.

--- a/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
@@ -1,7 +1,7 @@
 """Duties: usage reports to the cloud, and rollout states recorded in the store."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from result import Err
@@ -177,18 +177,37 @@
 
 
 class RolloutTask:
-    """Records the states of rollouts in the store."""
+    """Records the states of rollouts in the store.
+
+    Parameters
+    ----------
+    read_states : callable
+        Reads the recorded states from the store and applies them; returns whether the
+        store answered. Other hosts fetch the copy that it updates.
+    """
 
     def __init__(
-        self, rollouts: Rollouts, store: Store, codec: Codec, lease: Lease
+        self,
+        rollouts: Rollouts,
+        store: Store,
+        codec: Codec,
+        lease: Lease,
+        read_states: Callable[[], Awaitable[bool]],
     ) -> None:
         self._rollouts = rollouts
         self._store = store
         self._codec = codec
         self._lease = lease
+        self._read_states = read_states
+        self._read_token: int | None = None
 
     async def step(self, token: int, now: Instant) -> None:
         """Record the states that changed; a recorded final state is not replaced."""
+        if token != self._read_token:
+            # The previous holder may have recorded a final state a moment ago.
+            if not await self._read_states():
+                return
+            self._read_token = token
         for rollout in self._rollouts.list_rollouts():
             wanted = self._find_state(rollout, now)
             if wanted is rollout.recorded:
@@ -228,3 +247,4 @@
                 self._lease.note_refusal(token)
             return
         self._rollouts.apply_status(status)
+        await self._read_states()
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -265,7 +265,15 @@
         )
         ttl_ms = max(MEMBER_TTL_MS, settings.store.min_ttl_ms)
         lease = Lease(bounds.lease_ms, ttl_ms)
-        tasks: list[DutyTask] = [RolloutTask(self._rollouts, store, codec, lease)]
+        tasks: list[DutyTask] = [
+            RolloutTask(
+                self._rollouts,
+                store,
+                codec,
+                lease,
+                lambda: self._follower.read(Topic.STATUS, 0),
+            )
+        ]
         if cloud is not None:
             cloud = LeasedCloud(cloud, lease, clock)
         cloud_duties = settings.cloud.duties if settings.cloud is not None else ()
--- a/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
@@ -265,12 +265,16 @@
                 self._finish(rollout, RolloutState.WITHDRAWN, "withdrawn by a peer")
 
     def decide(self, now: Instant) -> None:
-        """Withdraw the versions whose merged counts show a fault."""
+        """Withdraw the versions whose merged counts show a fault.
+
+        Only the holder of the duties has the counts of all hosts, so only it decides
+        when the time is over.
+        """
         for rollout in self._rollouts.values():
             if rollout.state is not RolloutState.RUNNING:
                 continue
             decision = self.evaluate(rollout, now)
-            if isinstance(decision, Withdraw):
+            if isinstance(decision, Withdraw) and not decision.is_final:
                 self._finish(rollout, RolloutState.WITHDRAWN, decision.reason)
 
     def evaluate(self, rollout: Rollout, now: Instant) -> CanaryDecision:
--- /dev/null
+++ b/libs/gateway/tests/test_rollout_records.py
@@ -0,0 +1,113 @@
+"""Guards against a completed version that is withdrawn afterwards.
+
+The platform stops the old workers when a rollout is completed. If hosts then exclude
+the new version, or a later holder of the duties records a withdrawal, no worker serves.
+"""
+
+from result import Ok
+
+from waxwingbarrow.core import Instant, RouteName, ServiceName, VersionName
+from waxwingbarrow.gateway._duties import Lease
+from waxwingbarrow.gateway._duty_tasks import RolloutTask
+from waxwingbarrow.gateway._model import RolloutOrder, RolloutState
+from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.rollout import CanaryPolicy
+
+POOL, OLD, NEW = ServiceName("pool"), VersionName("v1"), VersionName("v2")
+ROUTE = RouteName("r")
+ORDER = RolloutOrder(service=POOL, to_version=NEW, duration_s=14.0, offset=4)
+
+
+def at(ms):
+    return Instant(ms, ms)
+
+
+class Store:
+    """Keeps the newest recorded state, and the whole history for the test."""
+
+    def __init__(self):
+        self.history = []
+
+    async def write_keyed(self, topic, key, value, token):
+        self.history.append(value)
+        return Ok(None)
+
+
+class Codec:
+    def write_status(self, status):
+        return "rollout", status
+
+
+class Host:
+    def __init__(self, store):
+        self.store = store
+        self.reads = 0
+        self.rollouts = Rollouts(CanaryPolicy())
+        self.rollouts.apply_order(ORDER, at(0))
+        self.task = RolloutTask(
+            self.rollouts, store, Codec(), Lease(3_000), self.read_states
+        )
+
+    async def read_states(self):
+        self.reads += 1
+        if self.store.history:
+            self.rollouts.apply_status(self.store.history[-1])
+        return True
+
+    def count_requests(self):
+        """Count good requests of both versions, as from all hosts."""
+        for version in (OLD, NEW):
+            for _ in range(60):
+                self.rollouts.record(POOL, version, ROUTE, False, 50)
+
+    def list_states(self):
+        return [status.state for status in self.store.history]
+
+
+def test_a_host_without_the_counts_of_others_does_not_withdraw_at_the_deadline():
+    """With relays a host knows only its own requests, and may have sent none."""
+    host = Host(Store())
+    host.rollouts.record(POOL, NEW, ROUTE, True, 50)
+    host.rollouts.decide(at(13_900))
+    host.rollouts.decide(at(60_000))
+    assert host.rollouts.list_withdrawn() == []
+
+
+async def test_the_holder_withdraws_a_version_that_got_no_requests():
+    host = Host(Store())
+    await host.task.step(1, at(13_900))
+    assert host.list_states() == [RolloutState.WITHDRAWN]
+
+
+async def test_a_later_holder_does_not_replace_a_recorded_completion():
+    store = Store()
+    first, second = Host(store), Host(store)
+    first.count_requests()
+    await first.task.step(1, at(13_900))
+    assert first.list_states() == [RolloutState.DONE]
+    second.rollouts.apply_withdrawals([(POOL, ORDER.offset)])
+    await second.task.step(2, at(24_000))
+    assert second.list_states() == [RolloutState.DONE]
+    rule = second.rollouts.find_rule(POOL, "q", {NEW})
+    assert rule.only == NEW
+    assert NEW not in rule.excluded
+
+
+async def test_a_record_is_read_back_so_that_other_hosts_can_fetch_it():
+    """Requests for the new version must not wait until the old workers lapse."""
+    host = Host(Store())
+    host.count_requests()
+    await host.task.step(1, at(13_900))
+    assert host.reads == 2
+
+
+async def test_nothing_is_recorded_before_the_recorded_states_are_known():
+    host = Host(Store())
+
+    async def fail():
+        return False
+
+    host.task._read_states = fail
+    host.count_requests()
+    await host.task.step(1, at(13_900))
+    assert host.list_states() == []
--- a/libs/rollout/src/waxwingbarrow/rollout/_canary.py
+++ b/libs/rollout/src/waxwingbarrow/rollout/_canary.py
@@ -89,9 +89,17 @@
 
 @attrs.frozen
 class Withdraw:
-    """The version gets no more requests."""
+    """The version gets no more requests.
+
+    Parameters
+    ----------
+    is_final : bool
+        Whether the counts alone do not show a fault, but the time is over. Counts of a
+        part of the hosts do not suffice for that.
+    """
 
     reason: str
+    is_final: bool = False
 
 
 CanaryDecision = Continue | Complete | Withdraw
@@ -122,7 +130,7 @@
     >>> good = [RouteCounts(RouteName("r"), 200, 1, 1000.0)]
     >>> bad = [RouteCounts(RouteName("r"), 10, 5, 25.0)]
     >>> decide_canary(good, bad, start, 10, CanaryPolicy(), Instant(1, 1))
-    Withdraw(reason='failures on r: 5 of 10')
+    Withdraw(reason='failures on r: 5 of 10', is_final=False)
     """
     old_by_route = {counts.route: counts for counts in old}
     suspected_reason = ""
@@ -143,11 +151,11 @@
     elapsed_fraction = (now.mono_ms - started.mono_ms) / (1000 * duration_s)
     if elapsed_fraction >= policy.decide_after_fraction:
         if suspected_reason:
-            return Withdraw(suspected_reason)
+            return Withdraw(suspected_reason, is_final=True)
         return (
             Complete()
             if total
-            else Withdraw("no request reached the new version in time")
+            else Withdraw("no request reached the new version in time", is_final=True)
         )
     if suspected_reason:
         return Continue(f"suspected: {suspected_reason}")
