--- a/libs/gateway/tests/test_rollout_records.py
+++ b/libs/gateway/tests/test_rollout_records.py
@@ -4,6 +4,7 @@
 the new version, or a later holder of the duties records a withdrawal, no worker serves.
 """
 
+import pytest
 from result import Ok
 
 from waxwingbarrow.core import Instant, RouteName, ServiceName, VersionName
@@ -64,10 +65,16 @@
         return [status.state for status in self.store.history]
 
 
-def test_a_host_without_the_counts_of_others_does_not_withdraw_at_the_deadline():
-    """With relays a host knows only its own requests, and may have sent none."""
+@pytest.mark.parametrize("failures", [0, 1])
+def test_a_host_without_the_counts_of_others_does_not_withdraw_at_the_deadline(
+    failures,
+):
+    """With relays a host knows only its own requests: none, or one that failed."""
     host = Host(Store())
-    host.rollouts.record(POOL, NEW, ROUTE, True, 50)
+    for _ in range(60):
+        host.rollouts.record(POOL, OLD, ROUTE, False, 50)
+    for _ in range(failures):
+        host.rollouts.record(POOL, NEW, ROUTE, True, 50)
     host.rollouts.decide(at(13_900))
     host.rollouts.decide(at(60_000))
     assert host.rollouts.list_withdrawn() == []
