Keep the workers of a new version until its rollout is decided

At 15.4 s the rollout was completed, the old workers stopped at once, and for 6 s no worker could be used. Ruled out: orders by version, which the platform does not take. No workers of a service are returned while its rollout is undecided, and a version without half as many workers as the old one is withdrawn at the deadline instead of completed. Tests: the planner during a rollout, a completion without workers. Before: both new tests fail or cannot be written; after: they pass.

--- a/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err
 
-from waxwingbarrow.core import AccountId, Instant
+from waxwingbarrow.core import AccountId, Instant, ServiceName, VersionName
 from waxwingbarrow.gateway._duties import Lease
 from waxwingbarrow.gateway._model import RolloutState, RolloutStatus
 from waxwingbarrow.gateway._ports import (
@@ -176,6 +176,11 @@
         return True
 
 
+# A new version is completed only if it has this many workers for each old one. The
+# others are ordered after that, and serve after their boot time.
+MIN_TAKEOVER_RATIO = 0.5
+
+
 class RolloutTask:
     """Records the states of rollouts in the store.
 
@@ -184,6 +189,8 @@
     read_states : callable
         Reads the recorded states from the store and applies them; returns whether the
         store answered. Other hosts fetch the copy that it updates.
+    count_ready : callable
+        Returns the number of usable workers of a service, of one version or of all.
     """
 
     def __init__(
@@ -193,12 +200,14 @@
         codec: Codec,
         lease: Lease,
         read_states: Callable[[], Awaitable[bool]],
+        count_ready: Callable[[ServiceName, VersionName | None], int],
     ) -> None:
         self._rollouts = rollouts
         self._store = store
         self._codec = codec
         self._lease = lease
         self._read_states = read_states
+        self._count_ready = count_ready
         self._read_token: int | None = None
 
     async def step(self, token: int, now: Instant) -> None:
@@ -220,13 +229,25 @@
         if rollout.state is not RolloutState.RUNNING:
             return rollout.state
         match self._rollouts.evaluate(rollout, now):
-            case Complete():
+            case Complete() if self._has_capacity(rollout):
                 return RolloutState.DONE
+            case Complete():
+                return RolloutState.WITHDRAWN
             case Withdraw():
                 return RolloutState.WITHDRAWN
             case _:
                 return RolloutState.RUNNING
 
+    def _has_capacity(self, rollout: Rollout) -> bool:
+        """Whether the workers of the new version can take over from the old ones.
+
+        The platform stops the old ones at once when the completion is recorded.
+        """
+        order = rollout.order
+        new = self._count_ready(order.service, order.to_version)
+        old = self._count_ready(order.service, None) - new
+        return new > 0 and new >= MIN_TAKEOVER_RATIO * old
+
     async def _record(self, rollout: Rollout, state: RolloutState, token: int) -> None:
         order = rollout.order
         status = RolloutStatus(
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -272,6 +272,7 @@
                 codec,
                 lease,
                 lambda: self._follower.read(Topic.STATUS, 0),
+                lambda service, version: len(self._fleet.list_usable(service, version)),
             )
         ]
         if cloud is not None:
@@ -300,6 +301,7 @@
                 ScalingPolicy(),
                 lambda now: self._peer_protocol.is_full_mesh(now),
                 lambda now: self._peer_protocol.measure_coverage(now),
+                self._rollouts.is_running,
             )
             tasks.append(self._scaling)
         # A restarted process joins as another member, so it never uses the fencing
--- a/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
@@ -288,6 +288,11 @@
             now,
         )
 
+    def is_running(self, service: ServiceName) -> bool:
+        """Return whether a rollout of a service is undecided."""
+        rollout = self._rollouts.get(service)
+        return rollout is not None and rollout.state is RolloutState.RUNNING
+
     def list_rollouts(self) -> list[Rollout]:
         """Return the newest rollout of each service."""
         return list(self._rollouts.values())
--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
@@ -90,6 +90,9 @@
         relays.
     measure_coverage : callable
         Returns the fraction of the known hosts whose work is part of the measured work.
+    is_rolling_out : callable
+        Returns whether a service's traffic is being moved to a new version. Its workers
+        run beside the old ones, so none are returned meanwhile.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         policy: ScalingPolicy,
         is_full_mesh: Callable[[Instant], bool],
         measure_coverage: Callable[[Instant], float],
+        is_rolling_out: Callable[[ServiceName], bool] = lambda service: False,
     ) -> None:
         self._fleet = fleet
         self._work_meter = work_meter
@@ -111,6 +115,7 @@
         self._policy = policy
         self._is_full_mesh = is_full_mesh
         self._measure_coverage = measure_coverage
+        self._is_rolling_out = is_rolling_out
         self._orders: dict[ServiceName, _ServiceOrders] = {}
 
     def note_initial_workers(self, now: Instant) -> None:
@@ -157,7 +162,10 @@
             )
             if need is None:
                 continue
+            is_rolling_out = self._is_rolling_out(service.name)
             for order in plan_scaling(need, state, self._policy, now):
+                if is_rolling_out and order.count < state.count(order.pool):
+                    continue
                 if not await self._send(service.name, order, need, token, now):
                     return
 
--- a/libs/gateway/tests/test_rollout_records.py
+++ b/libs/gateway/tests/test_rollout_records.py
@@ -45,10 +45,19 @@
         self.reads = 0
         self.rollouts = Rollouts(CanaryPolicy())
         self.rollouts.apply_order(ORDER, at(0))
+        self.ready = {OLD: 30, NEW: 27}
         self.task = RolloutTask(
-            self.rollouts, store, Codec(), Lease(3_000), self.read_states
+            self.rollouts,
+            store,
+            Codec(),
+            Lease(3_000),
+            self.read_states,
+            self.count_ready,
         )
 
+    def count_ready(self, service, version):
+        return sum(self.ready.values()) if version is None else self.ready[version]
+
     async def read_states(self):
         self.reads += 1
         if self.store.history:
@@ -118,3 +127,13 @@
     host.count_requests()
     await host.task.step(1, at(13_900))
     assert host.list_states() == []
+
+
+@pytest.mark.parametrize(("new", "state"), [(0, "withdrawn"), (5, "withdrawn")])
+async def test_a_version_without_workers_to_take_over_is_withdrawn(new, state):
+    """Guards against seconds without any worker: the old ones stop at once."""
+    host = Host(Store())
+    host.ready[NEW] = new
+    host.count_requests()
+    await host.task.step(1, at(13_900))
+    assert [recorded.value for recorded in host.list_states()] == [state]
--- a/libs/gateway/tests/test_scaling.py
+++ b/libs/gateway/tests/test_scaling.py
@@ -56,6 +56,7 @@
         self.fleet = Fleet()
         self.lease = Lease(3_000)
         self.coverage = 1.0
+        self.is_rolling_out = False
         self.work_meter = WorkMeter()
         self.task = ScalingTask(
             self.fleet,
@@ -66,6 +67,7 @@
             ScalingPolicy(),
             lambda now: True,
             lambda now: self.coverage,
+            lambda service: self.is_rolling_out,
         )
 
     def register(self, centre, count, now, *, reclaimable=False):
@@ -166,3 +168,26 @@
     for ms in range(15_000, 20_000, 10):
         host.work_meter.add(POOL, 450.0, at(ms))
     assert host.order(at(20_000)) > 40
+
+
+def test_workers_of_a_new_version_are_not_returned_during_its_rollout():
+    """The platform starts them beside the old ones, as many as these are.
+
+    Returning them left a completed version without workers.
+    """
+    host = Host()
+    for centre in CENTRES:
+        host.register(centre, 4, at(0))
+    host.task.note_initial_workers(at(0))
+    host.order(at(4_000))
+    host.cloud.ordered.clear()
+    for centre in CENTRES:
+        host.register(centre, 9, at(12_000), reclaimable=True)
+        host.register(centre, 20, at(12_000))
+    host.is_rolling_out = True
+    host.order(at(13_000))
+    ready = host.task._count_ready(POOL)
+    assert all(count >= ready[pool] for pool, count in host.cloud.ordered.items())
+    host.is_rolling_out = False
+    host.order(at(13_250))
+    assert any(count < ready.get(pool, 0) for pool, count in host.cloud.ordered.items())
