--- a/libs/gateway/tests/test_follower.py
+++ b/libs/gateway/tests/test_follower.py
@@ -1,4 +1,4 @@
-"""Guards against hosts that stay behind after an outage of the store."""
+"""Guards against hosts that stay behind because a long poll is never answered."""
 
 import asyncio
 import contextlib
@@ -19,9 +19,13 @@
 
 @attrs.define
 class SilentStore:
-    """Store that goes silent: calls that wait during an outage are never answered."""
+    """Store that goes silent: calls that wait during an outage are never answered.
+
+    With `loses_polls`, only the long polls that are sent meanwhile are not answered.
+    """
 
     is_down: bool = False
+    loses_polls: bool = False
     end: int = 1
     polls: int = 0
     waiting: int = 0
@@ -38,6 +42,8 @@
         self.polls += 1
         self.waiting += 1
         try:
+            if self.loses_polls:
+                await asyncio.sleep(11)
             for _ in range(wait_ms // 10):
                 await asyncio.sleep(0.01)
                 if self.is_down:
@@ -56,6 +62,7 @@
     clock = SystemClock()
     replicas = {topic: Replica() for topic in (Topic.OPERATOR, Topic.UPSTREAMS)}
     changes = []
+    wait = {"ms": OPERATOR_WAIT_MS}
     health = StoreHealth(clock)
     follower = Follower(
         store,
@@ -64,13 +71,13 @@
         clock,
         lambda topic, change: changes.append((topic, change)),
         lambda: True,
-        lambda: OPERATOR_WAIT_MS,
+        lambda: wait["ms"],
     )
     tasks = [
         asyncio.create_task(follower.follow_operator()),
         asyncio.create_task(follower.follow(Topic.UPSTREAMS, 0, 0.02)),
     ]
-    yield store, replicas
+    yield store, replicas, wait
     for task in tasks:
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -79,7 +86,7 @@
 
 
 async def test_a_version_published_after_an_outage_is_read_at_once(follower):
-    store, replicas = follower
+    store, replicas, _ = follower
     await asyncio.sleep(0.2)
     store.is_down = True
     await asyncio.sleep(0.5)
@@ -91,6 +98,21 @@
 
 
 async def test_a_long_poll_is_not_repeated_while_the_store_answers(follower):
-    store, _ = follower
+    store, _, _ = follower
     await asyncio.sleep(1.0)
     assert store.polls == 1
+
+
+async def test_a_long_poll_is_replaced_when_nothing_vouches_for_the_copy(follower):
+    # Guards against CONFIG of inc1 where no other call of the host fails: a version
+    # stays unknown until the long poll, whose answer was lost, reaches its timeout.
+    store, replicas, wait = follower
+    store.loses_polls = True
+    await asyncio.sleep(0.3)
+    assert store.waiting == 1
+    store.loses_polls = False
+    store.end = 2
+    wait["ms"] = 1_000
+    async with asyncio.timeout(CONFIG_BOUND_S):
+        while replicas[Topic.OPERATOR].end < 2:
+            await asyncio.sleep(0.01)
