Replace long polls when no other host vouches for the copy

Callers saw requests handled by an older configuration (CONFIG, DENIED) for up to 11 s after a version was acknowledged. Cause: a long poll whose answer is lost stays open until its timeout of 11.2 s, and it was replaced only if another call of the same host failed and a later one was answered. All hosts send their long polls at the same moment, 0.1 s after a change, so a short silence then takes all of them and no host tells the others. In a full mesh the first host now asks with waits of 1 s, as relays do, and its heartbeats vouch for the copies of the others; a host without such a heartbeat in 1.6 s replaces its long poll and asks often itself. Why it works: a copy is always confirmed within 1.6 s, or asked for at once on a new connection. Hosts that no relay covers wait 1 s, not 10. Ruled out: shorter long polls on all hosts, nine times the added calls.

--- a/libs/gateway/src/waxwingbarrow/gateway/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 from result import Err
 
@@ -26,7 +27,7 @@
 # Delay of a second read of the hosts, for those that registered after the first one.
 HOSTS_SECOND_READ_S = 2.0
 RETRY_INTERVAL_S = 0.25
-# Interval of checks whether a relay still passes on the operator's topic.
+# Interval of checks whether other hosts still vouch for the operator's topic.
 COVERAGE_CHECK_S = 0.2
 # Pause between long polls, so that changes in quick succession are read together.
 MIN_READ_INTERVAL_S = 0.1
@@ -97,8 +98,8 @@
         Returns whether this host reads the upstreams' registrations from the store. The
         other hosts fetch changes from those that do.
     find_operator_wait_ms : callable
-        Returns how long a read of the operator's topic waits for a change; None if a
-        relay passes on the changes.
+        Returns how long a read of the operator's topic may wait for a change now; None
+        if a relay passes on the changes.
     """
 
     def __init__(
@@ -138,8 +139,9 @@
     async def follow_operator(self) -> None:
         """Follow the operator's topic with long polls, unless a relay passes it on.
 
-        A long poll that was waiting during an outage may never be answered, so another
-        one replaces it when the store answers other calls again.
+        A long poll whose answer was lost stays open until its timeout. So another one
+        replaces it when the store answers other calls again after a failed one, and
+        when other hosts no longer vouch for the copy.
         """
         while True:
             wait_ms = self._find_operator_wait_ms()
@@ -149,9 +151,9 @@
             poll = asyncio.ensure_future(self.read(Topic.OPERATOR, wait_ms or 0))
             regained = asyncio.ensure_future(self._store_health.wait_until_regained())
             try:
-                await asyncio.wait({poll, regained}, return_when="FIRST_COMPLETED")
-                if not poll.done():
-                    logger.info("long poll restarted, as the store was regained")
+                reason = await self._wait_for_poll(poll, regained, wait_ms or 0)
+                if reason is not None:
+                    logger.info("long poll restarted", extra={"reason": reason})
                     continue
                 interval_s = MIN_READ_INTERVAL_S if poll.result() else RETRY_INTERVAL_S
             finally:
@@ -159,6 +161,23 @@
                 regained.cancel()
             await asyncio.sleep(interval_s)
 
+    async def _wait_for_poll(
+        self, poll: asyncio.Future[bool], regained: asyncio.Future[None], wait_ms: int
+    ) -> str | None:
+        """Wait for a long poll; return why another one is to replace it, if one is."""
+        events: set[asyncio.Future[Any]] = {poll, regained}
+        while True:
+            await asyncio.wait(
+                events, timeout=COVERAGE_CHECK_S, return_when="FIRST_COMPLETED"
+            )
+            if poll.done():
+                return None
+            if regained.done():
+                return "store regained"
+            needed_ms = self._find_operator_wait_ms()
+            if needed_ms is not None and needed_ms < wait_ms:
+                return "no host vouches for the copy"
+
     async def follow_upstreams(self) -> None:
         """Follow the upstreams' registrations, if this host is to read them.
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -54,6 +54,9 @@
     is_for_holder : bool
         Whether it is sent to the holder of the duties, which need not be the sender's
         relay.
+    operator_age_ms : int or None
+        Time since the store confirmed that the sender knows the operator's topic up to
+        its end offset; None if it has not.
     """
 
     format: int
@@ -75,6 +78,7 @@
     relay_mbps: int = 0
     eligibility: int = 1
     is_for_holder: bool = False
+    operator_age_ms: int | None = None
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
--- a/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
@@ -144,6 +144,7 @@
             self._rollouts.list_withdrawn(),
             self._relay_mbps,
             self.find_eligibility(),
+            operator_age_ms=self.measure_operator_age_ms(now),
         )
 
     def apply_heartbeat(
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -60,8 +60,8 @@
 # A long poll returns as soon as there is a record. Its wait is long because the store
 # charges for each read.
 OPERATOR_WAIT_MS = 10_000
-# Relays vouch for the copies of other hosts, so they need answers more often.
-RELAY_OPERATOR_WAIT_MS = 1_000
+# Wait of hosts that vouch for the copies of others, or for whose copies none does.
+SHORT_OPERATOR_WAIT_MS = 1_000
 # A relay stands in for a silent holder of the duties only if it knows the demand of
 # more than this fraction of the known hosts, so that no two do in a partition.
 MIN_DEPUTY_COVERAGE = 0.5
@@ -192,16 +192,16 @@
         return self.is_full_mesh(now) or self._is_relay
 
     def find_operator_wait_ms(self, now: Instant) -> int | None:
-        """Return how long a read of the operator's topic waits for a change.
+        """Return how long a read of the operator's topic may wait for a change.
 
         The result is None if this host need not read it, as a relay passes it on.
         """
-        if self.is_full_mesh(now):
-            return OPERATOR_WAIT_MS
-        if self._is_relay:
-            return RELAY_OPERATOR_WAIT_MS
         is_covered = self._operator_coverage.is_covered(now)
-        return None if is_covered else OPERATOR_WAIT_MS
+        if self.is_full_mesh(now):
+            return OPERATOR_WAIT_MS if is_covered else SHORT_OPERATOR_WAIT_MS
+        if self._is_relay or not is_covered:
+            return SHORT_OPERATOR_WAIT_MS
+        return None
 
     def is_candidate(self, now: Instant) -> bool:
         """Decide whether this host is a candidate for the duties; see `Candidacy`.
@@ -500,6 +500,10 @@
         if self.is_full_mesh(now):
             member = self._peer_sync.apply_heartbeat(heartbeat, sender_address, now)
             if member is not None:
+                if self._precedes(member.host):
+                    self._note_operator_age(
+                        heartbeat.operator_age_ms, heartbeat.end_offsets, now
+                    )
                 self._fetcher.fetch_if_behind(
                     heartbeat.end_offsets, (address, self._control_port), now
                 )
@@ -552,10 +556,25 @@
         control = (address, self._control_port)
         self._fetcher.fetch_if_behind(summary.end_offsets, control, now)
 
+    def _precedes(self, other: HostId) -> bool:
+        """Return whether another host is preferred to this one as relay."""
+        ranked = rank_relays([self._own.host, other], self._directory.find_relay_mbps)
+        return ranked[0] == other
+
+    def _note_operator_age(
+        self, age_ms: int | None, end_offsets: dict[str, int], now: Instant
+    ) -> None:
+        """Record how recently the store confirmed the operator's topic to a host."""
+        self._operator_coverage.note_message(
+            age_ms,
+            end_offsets.get(Topic.OPERATOR, 0),
+            self._peer_sync.list_end_offsets().get(Topic.OPERATOR, 0),
+            now,
+        )
+
     def _settle_relay(self, other: HostId, address: str, now: Instant) -> None:
         """Let the preferred one of two relays of this data centre replace the other."""
-        ranked = rank_relays([self._own.host, other], self._directory.find_relay_mbps)
-        if ranked[0] == other:
+        if self._precedes(other):
             self._relay_selector.record_heard(other, now)
         elif self._last_total is not None:
             self._send(self._encode(self._last_total[0]), address)
@@ -569,12 +588,7 @@
 
     def _apply_total(self, summary: RelaySummary, now: Instant) -> None:
         self._last_total = (summary, now.mono_ms)
-        self._operator_coverage.note_total(
-            summary.operator_age_ms,
-            summary.end_offsets.get(Topic.OPERATOR, 0),
-            self._peer_sync.list_end_offsets().get(Topic.OPERATOR, 0),
-            now,
-        )
+        self._note_operator_age(summary.operator_age_ms, summary.end_offsets, now)
         self._host_counts = [
             (received_ms, hosts)
             for received_ms, hosts in self._host_counts
--- a/libs/gateway/tests/test_operator_coverage.py
+++ b/libs/gateway/tests/test_operator_coverage.py
@@ -106,9 +106,9 @@
     coverage = OperatorCoverage()
     now = Instant(0, 10_000)
     assert not coverage.is_covered(now)
-    coverage.note_total(None, 3, 3, now)
+    coverage.note_message(None, 3, 3, now)
     assert not coverage.is_covered(now)
-    coverage.note_total(0, 3, 3, now)
+    coverage.note_message(0, 3, 3, now)
     assert coverage.is_covered(now)
     assert not coverage.is_covered(now.plus_ms(MAX_CONFIRMATION_AGE_MS + 1))
 
