Refuse requests with a prompt part that crashes upstreams

Callers of a model route lost their streams as 15 workers ended one after the other under one part of some prompts (BUDGET). Cause: what crashes upstreams was recognised by a hash of the whole request, so requests that share only a part each crashed one more. Crashes were also confirmed only by the next request to the upstream, up to 3.4 s later. Now each loss counts for all parts that other requests share. A part is blocked when it alone explains three crashes and no request with it has completed since; a stream that went on for 0.5 s shows that its parts are sound. Hosts tell each other of losses and of parts that are sound. After a lost request a new connection shows at once whether the upstream has crashed. Why it works: sound requests complete and clear the parts that they share with the bad ones; the part at fault is never cleared. Ruled out: a block of the account or the first part, which sound requests share; crashes counted on time-outs, which a cut link causes too.

--- a/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
@@ -30,9 +30,16 @@
 
 @attrs.frozen
 class NotSent:
-    """The request did not reach the upstream, as no connection could be used."""
+    """The request did not reach the upstream, as no connection could be used.
+
+    Parameters
+    ----------
+    refused : bool
+        Whether nothing listens at the upstream's port.
+    """
 
     reason: str
+    refused: bool = False
 
 
 @attrs.frozen
@@ -210,7 +217,7 @@
         try:
             channel = await upstream.pool.acquire(clock.now().mono_ms / 1000)
         except ConnectError as error:
-            return NotSent(str(error))
+            return NotSent(str(error), error.refused)
         try:
             channel.send(request, is_expected)
         except BrokenError:
--- a/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
@@ -39,6 +39,22 @@
             if channel.is_fresh(now_s):
                 return channel
             channel.close()
+        return await self._connect()
+
+    async def check_refused(self, now_s: float) -> bool:
+        """Return whether the peer refuses a new connection.
+
+        One that it accepts is added to the pool.
+        """
+        try:
+            channel = await self._connect()
+        except ConnectError as error:
+            return error.refused
+        channel.idle_since_s = now_s
+        self._keep(channel)
+        return False
+
+    async def _connect(self) -> Channel:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -46,14 +62,17 @@
                     lambda: Channel(self._body_budget), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
-            raise ConnectError(repr(error)) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectError(repr(error), refused) from error
         return protocol
 
     def release(self, channel: Channel, now_s: float) -> None:
         """Return a connection to the pool after its exchange."""
         channel.finish(now_s)
-        if not channel.reusable:
-            return
+        if channel.reusable:
+            self._keep(channel)
+
+    def _keep(self, channel: Channel) -> None:
         if len(self._idle) >= self._max_idle:
             channel.close()
             return
--- a/libs/gateway/src/waxwingbarrow/gateway/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channels.py
@@ -46,7 +46,17 @@
 
 
 class ConnectError(ChannelError):
-    """The connection could not be established; nothing was sent."""
+    """The connection could not be established; nothing was sent.
+
+    Parameters
+    ----------
+    refused : bool
+        Whether nothing listens at the peer's port.
+    """
+
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class BrokenError(ChannelError):
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
@@ -1,15 +1,61 @@
-"""Tracking of requests that crash the upstreams which run them."""
+"""Tracking of requests and prompt parts that crash the upstreams which run them."""
+
+import logging
+from collections.abc import Iterable
 
 import attrs
 
 from waxwingbarrow.core import Incarnation, Instant, UpstreamId
-from waxwingbarrow.routing import CrashSuspects, CrashSuspicion, UpstreamIncarnation
+from waxwingbarrow.routing import (
+    CrashSuspects,
+    CrashSuspicion,
+    UpstreamIncarnation,
+    find_culprits,
+)
+
+logger = logging.getLogger("waxwingbarrow.gateway.crashes")
 
 # A lost request counts as a crash if the upstream refuses connections within this time;
 # a crashed upstream does so soon after it dropped the request.
 CONFIRM_WINDOW_MS = 2_500
-# Time for which crashes are remembered.
+# Time for which crashes of one request are remembered.
 RETENTION_MS = 60_000
+# Time for which crashes under a prompt part are remembered. A part that was blocked
+# crashes some upstreams more when this is over.
+PART_RETENTION_MS = 600_000
+# A part is blocked after this many crashes that nothing else explains, if no request
+# with it was completed since.
+MIN_PART_CRASHES = 3
+# A request whose stream has gone on for this long did not crash its upstream: that
+# happens as the answer begins.
+SURVIVAL_MS = 500
+# Time for which peers are told of a change, and the number of parts that they are told
+# of at a time.
+SHARING_MS = 4_000
+MAX_SHARED_PARTS = 64
+
+# Upstreams with the wall time in ms at which their processes started.
+Processes = list[tuple[str, int]]
+# Key of a part, its depth in the prompts, the upstreams that crashed under it, and
+# those of them that it did not crash.
+PartLosses = tuple[str, int, Processes, Processes]
+
+
+@attrs.frozen
+class Fingerprints:
+    """What identifies a request among those that crash upstreams.
+
+    Parameters
+    ----------
+    request : str
+        Hash that is the same for equal requests of an account.
+    parts : tuple of str
+        Service and identifier of each part of the prompt that other requests share, in
+        the order of the prompt.
+    """
+
+    request: str
+    parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -22,100 +68,246 @@
         Monotonic time at which the connection broke.
     """
 
-    fingerprint: str
+    fingerprints: Fingerprints
     upstream: UpstreamId
     incarnation: Incarnation
     at_ms: int
 
 
 class CrashTracker:
-    """Counts the upstreams that crashed while they ran a request, by its fingerprint.
+    """Counts the upstreams that crashed while they ran a request or a prompt part.
 
     A lost request counts only if the upstream then refuses connections: a broken
     connection alone is common and says nothing about the request.
+
+    Requests that have one part of their prompts in common may each crash the upstream
+    that begins to answer. All requests that were about to be answered there are lost
+    with them, so a part counts as the cause only if it explains several crashes and no
+    request with it has been completed since.
     """
 
     def __init__(self) -> None:
-        self._suspicions = CrashSuspects(retention_ms=RETENTION_MS)
+        self._requests = CrashSuspects(retention_ms=RETENTION_MS)
+        self._parts = CrashSuspects(retention_ms=PART_RETENTION_MS)
         self._losses: list[_Loss] = []
+        self._blocked: frozenset[str] = frozenset()
+        # Greatest number of parts before each part that was lost.
+        self._depths: dict[str, int] = {}
+        # Monotonic time of the last change of a part that this host has observed.
+        self._observed_ms: dict[str, int] = {}
 
-    def is_refused(self, fingerprint: str, now: Instant) -> bool:
-        """Whether a request is refused because it has crashed too many upstreams."""
-        return self._suspicions.check(fingerprint, now).is_err()
+    def find_refusal(self, fingerprints: Fingerprints, now: Instant) -> str | None:
+        """Return why a request is refused; None if it is not."""
+        if self._requests.check(fingerprints.request, now).is_err():
+            return "crashes upstreams"
+        if not self._blocked.isdisjoint(fingerprints.parts):
+            return "a part of the prompt crashes upstreams"
+        return None
 
     def note_loss(
         self,
-        fingerprint: str,
+        fingerprints: Fingerprints,
         upstream: UpstreamId,
         incarnation: Incarnation,
+        first_event_ms: int | None,
         now: Instant,
     ) -> None:
-        """Record a request whose connection broke; it is not counted yet."""
+        """Record a request whose connection broke; it is not counted yet.
+
+        Parameters
+        ----------
+        first_event_ms : int or None
+            Monotonic time of the first event of its stream.
+        """
+        if first_event_ms is not None and now.mono_ms - first_event_ms >= SURVIVAL_MS:
+            self._clear_parts(fingerprints, now)
+            fingerprints = attrs.evolve(fingerprints, parts=())
         self._losses = [
             loss
             for loss in self._losses
             if now.mono_ms - loss.at_ms < CONFIRM_WINDOW_MS
         ]
-        self._losses.append(_Loss(fingerprint, upstream, incarnation, now.mono_ms))
+        self._losses.append(_Loss(fingerprints, upstream, incarnation, now.mono_ms))
 
-    def note_unreachable(
+    def note_crash(
         self, upstream: UpstreamId, incarnation: Incarnation, now: Instant
     ) -> None:
         """Count the recent losses at an upstream that refuses connections now."""
-        kept = []
+        process = UpstreamIncarnation(upstream, Incarnation(incarnation.started_ms, 0))
+        counted, kept = [], []
         for loss in self._losses:
             if now.mono_ms - loss.at_ms >= CONFIRM_WINDOW_MS:
                 continue
             if loss.upstream == upstream and loss.incarnation == incarnation:
-                lost = UpstreamIncarnation(
-                    upstream, Incarnation(incarnation.started_ms, 0)
-                )
-                suspicion = CrashSuspicion(loss.fingerprint, frozenset({lost}))
-                self._suspicions.merge([suspicion], now)
+                counted.append(loss.fingerprints)
             else:
                 kept.append(loss)
         self._losses = kept
+        if not counted:
+            return
+        lost = frozenset({process})
+        parts = sorted({part for item in counted for part in item.parts})
+        self._requests.merge(
+            [CrashSuspicion(item.request, lost) for item in counted], now
+        )
+        for item in counted:
+            for depth, part in enumerate(item.parts):
+                self._note_depth(part, depth)
+        self._parts.merge([CrashSuspicion(part, lost) for part in parts], now)
+        self._note_observed(parts, now)
+        logger.warning(
+            "upstream crashed",
+            extra={"upstream": upstream, "requests": len(counted), "parts": parts},
+        )
+        self._update_blocked(now)
 
     def note_completion(
-        self, fingerprint: str, upstream: UpstreamId, now: Instant
+        self,
+        fingerprints: Fingerprints,
+        upstream: UpstreamId,
+        succeeded: bool,
+        now: Instant,
     ) -> None:
-        """Clear a request that completed: it did not cause its earlier losses."""
-        self._suspicions.finish(fingerprint, upstream, Incarnation(0, 0), True, now)
+        """Clear a request that completed: it did not cause its earlier losses.
 
-    def list_shared(self, now: Instant) -> list[tuple[str, list[tuple[str, int]]]]:
+        Its parts are cleared only if it succeeded, as an upstream may reject a request
+        without beginning an answer.
+        """
+        self._requests.finish(
+            fingerprints.request, upstream, Incarnation(0, 0), True, now
+        )
+        if succeeded:
+            self._clear_parts(fingerprints, now)
+
+    def _clear_parts(self, fingerprints: Fingerprints, now: Instant) -> None:
+        cleared = [part for part in fingerprints.parts if self._parts.clear(part, now)]
+        if cleared:
+            self._note_observed(cleared, now)
+            self._update_blocked(now)
+
+    def _note_observed(self, parts: Iterable[str], now: Instant) -> None:
+        self._observed_ms = {
+            part: at_ms
+            for part, at_ms in self._observed_ms.items()
+            if now.mono_ms - at_ms < SHARING_MS
+        }
+        self._observed_ms |= dict.fromkeys(parts, now.mono_ms)
+
+    def _note_depth(self, part: str, depth: int) -> None:
+        self._depths[part] = max(depth, self._depths.get(part, 0))
+
+    def _update_blocked(self, now: Instant) -> None:
+        suspicions = self._parts.list_suspicions(now)
+        known = {item.fingerprint for item in suspicions}
+        self._depths = {p: depth for p, depth in self._depths.items() if p in known}
+        blocked = find_culprits(suspicions, MIN_PART_CRASHES, self._depths)
+        for part in sorted(blocked - self._blocked):
+            logger.warning(
+                "requests with a prompt part are refused, as it crashes upstreams",
+                extra={"prompt_part": part, "crashes": self._count_crashes(part)},
+            )
+        for part in sorted(self._blocked - blocked):
+            logger.info(
+                "requests with a prompt part are served again",
+                extra={"prompt_part": part},
+            )
+        self._blocked = blocked
+
+    def _count_crashes(self, part: str) -> int:
+        known = self._parts.find(part)
+        return 0 if known is None else len(known.uncleared)
+
+    def list_shared(self, now: Instant) -> list[tuple[str, Processes]]:
         """Return the suspected fingerprints and the upstreams they crashed, for peers.
 
         An upstream is given by its identifier and the wall time in ms at which its
         process started.
         """
+        return [
+            (known.fingerprint, _to_pairs(known.uncleared))
+            for known in self._requests.list_suspicions(now)
+            if known.uncleared
+        ]
+
+    def list_shared_parts(self, now: Instant) -> list[PartLosses]:
+        """Return the parts that peers are told of.
+
+        These are the blocked ones, and those whose losses this host has observed or
+        cleared lately; the blocked ones and the newest first.
+        """
+        recent = [
+            part
+            for part, at_ms in self._observed_ms.items()
+            if now.mono_ms - at_ms < SHARING_MS
+        ]
+        names = list(dict.fromkeys([*sorted(self._blocked), *reversed(recent)]))
+        shared = (self._parts.find(part) for part in names[:MAX_SHARED_PARTS])
         return [
             (
                 known.fingerprint,
-                [
-                    (lost.upstream, lost.incarnation.started_ms)
-                    for lost in known.uncleared
-                ],
+                self._depths.get(known.fingerprint, 0),
+                _to_pairs(known.lost),
+                _to_pairs(known.cleared),
             )
-            for known in self._suspicions.list_suspicions(now)
-            if known.uncleared
+            for known in shared
+            if known is not None
         ]
 
     def update_from_peer(
-        self, items: list[tuple[str, list[tuple[str, int]]]], now: Instant
+        self,
+        items: list[tuple[str, Processes]],
+        parts: list[PartLosses],
+        now: Instant,
     ) -> None:
-        """Record the crashes that a peer reported, as from `list_shared`."""
-        self._suspicions.merge(
-            (
-                CrashSuspicion(
-                    fingerprint,
-                    frozenset(
-                        UpstreamIncarnation(
-                            UpstreamId(name), Incarnation(started_ms, 0)
-                        )
-                        for name, started_ms in lost
-                    ),
-                )
-                for fingerprint, lost in items
-            ),
-            now,
+        """Record the crashes that a peer reported.
+
+        Parameters
+        ----------
+        items, parts : list
+            As from `list_shared` and `list_shared_parts`.
+        """
+        self._requests.merge(
+            (CrashSuspicion(name, _from_pairs(lost)) for name, lost in items), now
         )
+        for part, depth, _, _ in parts:
+            self._note_depth(part, depth)
+        reported = (
+            CrashSuspicion(part, _from_pairs(lost), _from_pairs(cleared))
+            for part, _, lost, cleared in parts
+        )
+        if self._parts.merge(reported, now):
+            self._update_blocked(now)
+
+
+def merge_part_losses(lists: Iterable[list[PartLosses]]) -> list[PartLosses]:
+    """Join what several hosts report about prompt parts.
+
+    Examples
+    --------
+    >>> merge_part_losses([[("pool/1", 0, [("i-1", 5)], [])],
+    ...                    [("pool/1", 1, [("i-2", 7)], [("i-1", 5)])]])
+    [('pool/1', 1, [('i-1', 5), ('i-2', 7)], [('i-1', 5)])]
+    """
+    depths: dict[str, int] = {}
+    lost_under: dict[str, set[tuple[str, int]]] = {}
+    cleared_of: dict[str, set[tuple[str, int]]] = {}
+    for items in lists:
+        for part, depth, lost, cleared in items:
+            depths[part] = max(depth, depths.get(part, 0))
+            lost_under.setdefault(part, set()).update(lost)
+            cleared_of.setdefault(part, set()).update(cleared)
+    return [
+        (part, depth, sorted(lost_under[part]), sorted(cleared_of[part]))
+        for part, depth in depths.items()
+    ]
+
+
+def _to_pairs(processes: Iterable[UpstreamIncarnation]) -> Processes:
+    return [(item.upstream, item.incarnation.started_ms) for item in processes]
+
+
+def _from_pairs(pairs: Processes) -> frozenset[UpstreamIncarnation]:
+    return frozenset(
+        UpstreamIncarnation(UpstreamId(name), Incarnation(started_ms, 0))
+        for name, started_ms in pairs
+    )
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -52,6 +52,9 @@
 ATTEMPT_TIME_SHARE = 0.45
 # With less time left than this, a failed request is not retried.
 MIN_RETRY_MS = 2.0
+# Delay after which a new connection shows whether an upstream that dropped a request
+# has crashed.
+CRASH_CHECK_DELAY_S = 0.05
 # Events of a stream beyond one for each output token, such as one that ends it.
 MAX_EXTRA_EVENTS = 16
 
@@ -84,6 +87,7 @@
         self._metrics = metrics
         self._retry_budgets = retry_budgets
         self._reporter = reporter
+        self._crash_checks: dict[Upstream, asyncio.Task[None]] = {}
 
     async def handle(self, call: Call, responder: Responder) -> None:
         """Handle one request and write its response."""
@@ -407,7 +411,8 @@
                 result = str(head.status)
             case NotSent(reason):
                 self._fleet.record_unreachable(upstream, now)
-                self._crash_tracker.note_unreachable(name, upstream.incarnation, now)
+                if outcome.refused:
+                    self._crash_tracker.note_crash(name, upstream.incarnation, now)
                 result = f"not sent ({reason})"
             case NotRun(status):
                 upstream.record(True, now)
@@ -419,9 +424,8 @@
             case ConnectionLost(reason):
                 failed = True
                 self._fleet.record(upstream, True, now)
-                self._crash_tracker.note_loss(
-                    plan.fingerprint, name, upstream.incarnation, now
-                )
+                if not upstream.entry.leaving and not upstream.gone:
+                    self._note_loss(plan, upstream, job, now)
                 result = f"lost ({reason})"
             case TimedOut():
                 failed = True
@@ -430,7 +434,8 @@
         if job is not None:
             self._report_failure(plan, upstream, outcome, failed, now)
         if isinstance(outcome, ResponseReceived):
-            self._crash_tracker.note_completion(plan.fingerprint, name, now)
+            succeeded = outcome.head.status < 300
+            self._crash_tracker.note_completion(plan.fingerprints, name, succeeded, now)
         if not isinstance(outcome, NotSent | NotRun):
             first_ms = now.mono_ms
             if job is not None and job.first_event_ms is not None:
@@ -444,6 +449,33 @@
             )
         plan.trace.attempts.append(f"{name}: {result}")
 
+    def _note_loss(
+        self, plan: Plan, upstream: Upstream, job: Job | None, now: Instant
+    ) -> None:
+        """Record a lost request, and find out whether its upstream has crashed."""
+        first_event_ms = job.first_event_ms if job is not None else None
+        self._crash_tracker.note_loss(
+            plan.fingerprints,
+            upstream.entry.upstream,
+            upstream.incarnation,
+            first_event_ms,
+            now,
+        )
+        if upstream not in self._crash_checks:
+            check = asyncio.create_task(self._check_crash(upstream))
+            self._crash_checks[upstream] = check
+            check.add_done_callback(lambda _: self._crash_checks.pop(upstream, None))
+
+    async def _check_crash(self, upstream: Upstream) -> None:
+        await asyncio.sleep(CRASH_CHECK_DELAY_S)
+        now = self._clock.now()
+        if await upstream.pool.check_refused(now.mono_ms / 1000):
+            now = self._clock.now()
+            self._fleet.record_unreachable(upstream, now)
+            self._crash_tracker.note_crash(
+                upstream.entry.upstream, upstream.incarnation, now
+            )
+
     def _report_failure(
         self,
         plan: Plan,
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from waxwingbarrow.gateway._crash_tracker import PartLosses
 from waxwingbarrow.gateway._ports import Unreadable
 
 # Version of the message format; messages of another version are ignored.
@@ -57,6 +58,10 @@
     operator_age_ms : int or None
         Time since the store confirmed that the sender knows the operator's topic up to
         its end offset; None if it has not.
+    part_losses : list
+        Service and identifier of prompt parts, and for each its depth in the prompts,
+        the upstreams that crashed under it and those of them that it did not crash,
+        with their start times.
     """
 
     format: int
@@ -79,6 +84,7 @@
     eligibility: int = 1
     is_for_holder: bool = False
     operator_age_ms: int | None = None
+    part_losses: list[PartLosses] = []
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -132,6 +138,7 @@
     replacement: str = ""
     operator_age_ms: int | None = None
     deputies: list[str] = []
+    part_losses: list[PartLosses] = []
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
@@ -145,6 +145,7 @@
             self._relay_mbps,
             self.find_eligibility(),
             operator_age_ms=self.measure_operator_age_ms(now),
+            part_losses=self._crash_tracker.list_shared_parts(now),
         )
 
     def apply_heartbeat(
@@ -194,7 +195,9 @@
         for item in heartbeat.rollout_counts:
             self._rollouts.update_from_peer(origin, item)
         self._rollouts.apply_withdrawals(heartbeat.withdrawn)
-        self._crash_tracker.update_from_peer(heartbeat.suspects, now)
+        self._crash_tracker.update_from_peer(
+            heartbeat.suspects, heartbeat.part_losses, now
+        )
         return member
 
     def apply_total(
@@ -232,7 +235,7 @@
             )
         self._record_parts(summary.parts)
         self._rollouts.apply_withdrawals(summary.withdrawn)
-        self._crash_tracker.update_from_peer(summary.suspects, now)
+        self._crash_tracker.update_from_peer(summary.suspects, summary.part_losses, now)
 
     def _set_peer_loads(
         self, host: HostId, loads_by_upstream: dict[str, Load], now: Instant
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from waxwingbarrow.core import Instant, ServiceName
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
+from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import PlacementQuery
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Engine, Route
@@ -106,12 +106,11 @@
     ) -> Plan | Refused:
         assert self.table is not None
         name = account.name if account else ""
-        digest = xxhash.xxh3_64(call.body)
-        digest.update(call.target)
-        digest.update(name.encode())
-        fingerprint = digest.hexdigest()
-        if self._crash_tracker.is_refused(fingerprint, now):
-            return Refused(503, "crashes upstreams", RETRY_AFTER_SUSPECT_S)
+        service = pick_service(route, metadata.request_id)
+        fingerprints = make_fingerprints(call, name, service, metadata)
+        refused = self._check_suspicion(fingerprints, now)
+        if refused is not None:
+            return refused
         cost = self._quotas.compute_cost(account, metadata)
         deadline_ms = (
             DEFAULT_DEADLINE_MS
@@ -133,10 +132,19 @@
             account,
             cost,
             received.plus_ms(allowed_ms),
-            fingerprint,
+            fingerprints,
             trace,
         )
 
+    def _check_suspicion(
+        self, fingerprints: Fingerprints, now: Instant
+    ) -> Refused | None:
+        """Refuse a request that is likely to crash the upstream that runs it."""
+        reason = self._crash_tracker.find_refusal(fingerprints, now)
+        if reason is None:
+            return None
+        return Refused(503, reason, RETRY_AFTER_SUSPECT_S)
+
     async def admit(self, plan: Plan, now: Instant) -> Refused | None:
         """Charge a request to its account; return a refusal if it is over the limit.
 
@@ -205,6 +213,9 @@
 
         Upstreams that the request was already sent to are not chosen again.
         """
+        refused = self._check_suspicion(plan.fingerprints, now)
+        if refused is not None:
+            return refused
         metadata = plan.metadata
         service = self.pick_service(plan)
         engine = self.find_engine(service)
@@ -307,18 +318,36 @@
         return self._fleet.upstreams[chosen.ok_value.view.upstream]
 
     def pick_service(self, plan: Plan) -> ServiceName:
-        """Choose a service by the weights of the route's backends.
+        """Choose the service of a request; see `pick_service`."""
+        return pick_service(plan.route, plan.metadata.request_id)
 
-        The request's ID decides, so all attempts of a request go to the same service.
-        """
-        backends = plan.route.backends
-        if len(backends) == 1:
-            return backends[0].service
-        total = sum(backend.weight for backend in backends)
-        digest = xxhash.xxh64_intdigest(plan.metadata.request_id.encode())
-        point = digest / 2**64 * total
-        for backend in backends:
-            point -= backend.weight
-            if point < 0:
-                return backend.service
-        return backends[-1].service
+
+def pick_service(route: Route, request_id: str) -> ServiceName:
+    """Choose a service by the weights of the route's backends.
+
+    The request's ID decides, so all attempts of a request go to the same service.
+    """
+    backends = route.backends
+    if len(backends) == 1:
+        return backends[0].service
+    total = sum(backend.weight for backend in backends)
+    point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
+    for backend in backends:
+        point -= backend.weight
+        if point < 0:
+            return backend.service
+    return backends[-1].service
+
+
+def make_fingerprints(
+    call: Call, account: str, service: ServiceName, metadata: CallMetadata
+) -> Fingerprints:
+    """Return what identifies a request among those that crash upstreams.
+
+    The last part of a prompt belongs to the request or its session, so it is left out.
+    """
+    digest = xxhash.xxh3_64(call.body)
+    digest.update(call.target)
+    digest.update(account.encode())
+    parts = tuple(f"{service}/{part.part:x}" for part in metadata.parts[:-1])
+    return Fingerprints(digest.hexdigest(), parts)
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -3,6 +3,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant, UpstreamId
+from waxwingbarrow.gateway._crash_tracker import Fingerprints
 from waxwingbarrow.gateway._messages import PlacementAdvice
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Route
 from waxwingbarrow.gateway._quota_admission import AdviceSource, Charge
@@ -60,9 +61,8 @@
     deadline : Instant
         When the response must be complete, by the caller's deadline and the route's
         timeout.
-    fingerprint : str
-        Hash that is the same for equal requests of an account, by which requests that
-        crash upstreams are recognised.
+    fingerprints : Fingerprints
+        By which requests that crash upstreams are recognised.
     charge : Charge
         Where the cost was charged.
     advice : PlacementAdvice or None
@@ -88,7 +88,7 @@
     account: Account | None
     cost: float
     deadline: Instant
-    fingerprint: str
+    fingerprints: Fingerprints
     trace: RequestTrace
     charge: Charge = Charge.NOWHERE
     advice: PlacementAdvice | None = None
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -19,6 +19,7 @@
 import xxhash
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
+from waxwingbarrow.gateway._crash_tracker import merge_part_losses
 from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
 from waxwingbarrow.gateway._ports import Topic
 
@@ -253,6 +254,9 @@
             _concatenate(heartbeat.withdrawn for heartbeat in heartbeats),
             eligibility,
             operator_age_ms=operator_age_ms,
+            part_losses=merge_part_losses(
+                heartbeat.part_losses for heartbeat in heartbeats
+            ),
         )
 
     def summarize_all(self, own: RelaySummary, now: Instant) -> RelaySummary:
@@ -290,6 +294,7 @@
             _concatenate(summary.suspects for summary in summaries),
             _concatenate(summary.withdrawn for summary in summaries),
             operator_age_ms=self._find_operator_age_ms(own, now),
+            part_losses=merge_part_losses(summary.part_losses for summary in summaries),
         )
 
     def _find_operator_age_ms(self, own: RelaySummary, now: Instant) -> int | None:
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -125,6 +125,7 @@
         self.members = Members(host)
         self.usage = UsageCounter(5.0)
         self.work_meter = WorkMeter()
+        self.crash_tracker = CrashTracker()
         fleet, quotas = Fleet(), Quotas()
         self.replicas = {Topic.OPERATOR: Replica(), Topic.UPSTREAMS: Replica()}
         replicas = self.replicas
@@ -137,7 +138,7 @@
             quotas,
             self.usage,
             Rollouts(CanaryPolicy()),
-            CrashTracker(),
+            self.crash_tracker,
             self.work_meter,
             replicas,
             self.relay_mbps,
--- a/libs/gateway/tests/test_advice.py
+++ b/libs/gateway/tests/test_advice.py
@@ -14,7 +14,7 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
+from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import (
     MESSAGE_FORMAT,
@@ -125,7 +125,9 @@
         call = Call(b"POST", b"/", [], b"", now.mono_ms)
         deadline = now.plus_ms(10_000)
         trace = RequestTrace(RequestId("q"))
-        plan = Plan(call, metadata, ROUTE, None, 0.0, deadline, "f", trace)
+        plan = Plan(
+            call, metadata, ROUTE, None, 0.0, deadline, Fingerprints("f"), trace
+        )
         assert asyncio.run(self.planner.admit(plan, now)) is None
         return plan
 
--- a/libs/gateway/tests/test_replicated_state.py
+++ b/libs/gateway/tests/test_replicated_state.py
@@ -9,7 +9,6 @@
 
 from waxwingbarrow.core import (
     DataCentre,
-    Incarnation,
     Instant,
     RouteName,
     ServiceName,
@@ -24,7 +23,6 @@
     RolloutStatus,
     UpstreamEntry,
 )
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._replica import Replica
 from waxwingbarrow.gateway._rollouts import Rollouts
@@ -213,39 +211,3 @@
         rollouts.apply_status(status(RolloutState.WITHDRAWN))
         rollouts.apply_order(ORDER, at(9_000))
         assert self.count_new(rollouts) == 0
-
-
-class TestCrashTracker:
-    def crash(self, crash_tracker, name, ms):
-        """Lose request "f" at an upstream that refuses connections soon after."""
-        upstream, incarnation = UpstreamId(name), Incarnation(1, 0)
-        crash_tracker.note_loss("f", upstream, incarnation, at(ms))
-        crash_tracker.note_unreachable(upstream, incarnation, at(ms + 300))
-
-    def test_a_request_that_crashed_two_upstreams_is_refused(self):
-        crash_tracker = CrashTracker()
-        self.crash(crash_tracker, "u1", 0)
-        assert not crash_tracker.is_refused("f", at(500))
-        self.crash(crash_tracker, "u2", 600)
-        assert crash_tracker.is_refused("f", at(1_000))
-
-    def test_a_broken_connection_alone_does_not_make_a_request_suspect(self):
-        crash_tracker = CrashTracker()
-        for name in ("u1", "u2", "u3"):
-            crash_tracker.note_loss("f", UpstreamId(name), Incarnation(1, 0), at(0))
-        crash_tracker.note_unreachable(UpstreamId("u1"), Incarnation(1, 0), at(9_000))
-        assert not crash_tracker.is_refused("f", at(9_100))
-
-    def test_a_request_that_completes_elsewhere_is_cleared(self):
-        crash_tracker = CrashTracker()
-        self.crash(crash_tracker, "u1", 0)
-        self.crash(crash_tracker, "u2", 600)
-        crash_tracker.note_completion("f", UpstreamId("u3"), at(1_000))
-        assert not crash_tracker.is_refused("f", at(1_100))
-
-    def test_crashes_counted_by_several_hosts_add_up(self):
-        first, second = CrashTracker(), CrashTracker()
-        self.crash(first, "u1", 0)
-        self.crash(second, "u2", 0)
-        second.update_from_peer(first.list_shared(at(500)), at(500))
-        assert second.is_refused("f", at(600))
--- a/libs/routing/src/waxwingbarrow/routing/__init__.py
+++ b/libs/routing/src/waxwingbarrow/routing/__init__.py
@@ -12,6 +12,7 @@
     CrashSuspects,
     CrashSuspicion,
     UpstreamIncarnation,
+    find_culprits,
 )
 from waxwingbarrow.routing._engines import (
     Placement,
@@ -75,6 +76,7 @@
     "choose_worker",
     "decide_reclaim",
     "estimate_start_ms",
+    "find_culprits",
     "hash_prefix",
     "select_subset",
 ]
--- a/libs/routing/src/waxwingbarrow/routing/_crashes.py
+++ b/libs/routing/src/waxwingbarrow/routing/_crashes.py
@@ -1,7 +1,7 @@
 """Detection of requests that crash the upstreams which run them."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 from result import Err, Ok, Result
@@ -42,6 +42,56 @@
         return self.lost - self.cleared
 
 
+def find_culprits(
+    suspicions: Collection[CrashSuspicion],
+    min_loss_count: int,
+    depths: Mapping[str, int],
+) -> frozenset[str]:
+    """Return the fewest fingerprints that explain the losses.
+
+    A loss is explained by one culprit, so that what merely ran beside it, or is part of
+    the same requests, is not suspected for the same loss. The fingerprint with the most
+    unexplained losses is the culprit; among equals one that was never cleared, then the
+    deepest one, which the fewest requests have.
+
+    Parameters
+    ----------
+    min_loss_count : int
+        Number of losses that a culprit has at least.
+    depths : mapping
+        Depth of each fingerprint, for those that form a tree.
+
+    Examples
+    --------
+    >>> processes = [
+    ...     UpstreamIncarnation(UpstreamId(name), Incarnation(0, 0)) for name in "abcd"
+    ... ]
+    >>> beside = CrashSuspicion("beside", frozenset(processes[:3]))
+    >>> cause = CrashSuspicion("cause", frozenset(processes))
+    >>> sorted(find_culprits([beside, cause], 3, {}))
+    ['cause']
+    """
+    unexplained = {
+        item.fingerprint: item.uncleared
+        for item in suspicions
+        if len(item.uncleared) >= min_loss_count
+    }
+    was_cleared = {item.fingerprint: bool(item.cleared) for item in suspicions}
+
+    def rank(name: str) -> tuple[int, bool, int, str]:
+        return -len(unexplained[name]), was_cleared[name], -depths.get(name, 0), name
+
+    culprits = set()
+    while unexplained:
+        culprit = min(unexplained, key=rank)
+        explained = unexplained.pop(culprit)
+        if len(explained) < min_loss_count:
+            break
+        culprits.add(culprit)
+        unexplained = {name: lost - explained for name, lost in unexplained.items()}
+    return frozenset(culprits)
+
+
 class CrashSuspects:
     """Counts the distinct upstream processes that were lost while a request ran.
 
@@ -102,6 +152,19 @@
             cleared = known[0].cleared | others
             self._store(attrs.evolve(known[0], cleared=cleared), now)
 
+    def clear(self, fingerprint: str, now: Instant) -> bool:
+        """Clear all known losses of a fingerprint; return whether there were any."""
+        known = self._known.get(fingerprint)
+        if known is None or not known[0].uncleared:
+            return False
+        self._store(attrs.evolve(known[0], cleared=known[0].lost), now)
+        return True
+
+    def find(self, fingerprint: str) -> CrashSuspicion | None:
+        """Return what is known of a fingerprint."""
+        known = self._known.get(fingerprint)
+        return None if known is None else known[0]
+
     def list_upstreams_to_avoid(
         self, fingerprint: str, now: Instant
     ) -> frozenset[UpstreamIncarnation]:
@@ -150,24 +213,31 @@
         self._expire(now)
         return tuple(known for known, _ in self._known.values())
 
-    def merge(self, suspicions: Iterable[CrashSuspicion], now: Instant) -> None:
-        """Merge suspicions from other hosts; order and repetition do not matter."""
-        for suspicion in suspicions:
-            self._merge(suspicion, now)
+    def merge(self, suspicions: Iterable[CrashSuspicion], now: Instant) -> bool:
+        """Merge suspicions from other hosts; order and repetition do not matter.
+
+        Returns
+        -------
+        bool
+            Whether anything was new.
+        """
+        return any([self._merge(suspicion, now) for suspicion in suspicions])
 
-    def _merge(self, suspicion: CrashSuspicion, now: Instant) -> None:
+    def _merge(self, suspicion: CrashSuspicion, now: Instant) -> bool:
         known = self._known.get(suspicion.fingerprint)
         if known is None:
             self._store(suspicion, now)
-            return
+            return True
         merged = CrashSuspicion(
             suspicion.fingerprint,
             known[0].lost | suspicion.lost,
             known[0].cleared | suspicion.cleared,
         )
         # Gossip repeats unchanged items, which must not extend the retention time.
-        if merged != known[0]:
-            self._store(merged, now)
+        if merged == known[0]:
+            return False
+        self._store(merged, now)
+        return True
 
     def _store(self, suspicion: CrashSuspicion, now: Instant) -> None:
         self._known[suspicion.fingerprint] = (suspicion, now.mono_ms)
