Take a stream that is closed before its first event for cut

Callers got an empty stream that looked complete when an upstream crashed as it began a response without length or chunks: the close of the connection is the end of such a body. Cause: the end of the connection was taken for the end of the response whatever had arrived. A stream has at least one event, so without one it was cut; it goes on at another upstream or ends with 502. Ruled out: the same for bodies with chunks, whose end is explicit.

--- a/libs/gateway/src/waxwingbarrow/gateway/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channels.py
@@ -242,6 +242,11 @@
 
     # Interface for the owner of the channel
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection shows the end of the body."""
+        return not self._has_length
+
     @property
     def is_open(self) -> bool:
         """Whether the connection can still be written to."""
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -290,6 +290,9 @@
             if splitter.remainder:
                 # The body is complete for HTTP, but its last event is truncated.
                 return ConnectionLost("ended inside an event")
+            if channel.ends_with_connection and job.first_event_ms is None:
+                # An upstream that crashes closes its connections like one that is done.
+                return ConnectionLost("closed before the first event")
             if not responder.started:
                 self._start_stream(response.head, responder)
             responder.finish_stream()
