Compare versions over all routes, by multiples of the expected latency

Cause: latencies were compared for each route alone. The new version is idle beside the loaded old one, which hides most of a slowdown of 5 (1.3 to 1.9 on two routes), and the third route, 3.2 to 5 times slower, had 4 requests of the 6 needed. Now the time to the first event is taken as a multiple of its estimate, which knows the prompt, what is cached and the queue, and is compared over all routes, weighted by requests. Significant differences withdraw the version, others delay its completion. Ruled out: a lower ratio for each route, which load and chance exceed; more requests for the new version, which callers of a bad one pay for. Before: 2 new tests fail.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -449,6 +449,7 @@
                 plan.route.name,
                 failed,
                 first_ms - started.mono_ms,
+                plan.expected_start_ms,
             )
         plan.trace.attempts.append(f"{name}: {result}")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -20,7 +20,13 @@
 from waxwingbarrow.gateway._routes import NoAccount, NoRoute, RouteMatch, RouteTable
 from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.gateway._work_meter import WorkMeter, estimate_work_ms
-from waxwingbarrow.routing import Placement, PlacementPolicy, RequestSize, choose_worker
+from waxwingbarrow.routing import (
+    Placement,
+    PlacementPolicy,
+    RequestSize,
+    choose_worker,
+    estimate_start_ms,
+)
 
 DEFAULT_DEADLINE_MS = 30_000.0
 # Times that refusals name in Retry-After. After the first one, an upstream that turned
@@ -225,11 +231,11 @@
             service, rule.only, rule.excluded, plan.tried_upstreams
         )
         placement = self._follow_advice(plan, eligible, engine, now)
+        work = RequestSize(
+            prompt_tokens=metadata.prompt_tokens,
+            output_tokens=metadata.max_output_tokens,
+        )
         if placement is None:
-            work = RequestSize(
-                prompt_tokens=metadata.prompt_tokens,
-                output_tokens=metadata.max_output_tokens,
-            )
             views = self._fleet.view(eligible, metadata.parts, engine, now)
             chosen = choose_worker(work, views, self._policy, self._rng)
             if isinstance(chosen, Err):
@@ -238,6 +244,12 @@
         if not plan.tried_upstreams:
             work_ms = estimate_work_ms(metadata, placement.view.cached_tokens)
             self._work_meter.add(service, work_ms, now)
+            if engine is not None and metadata.has_token_counts:
+                # The time that a slow engine is known to need would hide its slowness.
+                at_normal_speed = attrs.evolve(placement.view, slowdown=1.0)
+                plan.expected_start_ms = estimate_start_ms(
+                    at_normal_speed, work, self._policy
+                )
         remaining_ms = plan.deadline.mono_ms - now.mono_ms
         if placement.start_ms > remaining_ms * LATEST_START_FRACTION:
             wait_s = (placement.start_ms - remaining_ms * LATEST_START_FRACTION) / 1000
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -63,6 +63,9 @@
         timeout.
     fingerprints : Fingerprints
         By which requests that crash upstreams are recognised.
+    expected_start_ms : float or None
+        Estimated time to the first event of the first attempt at a model engine that
+        works at its normal speed.
     charge : Charge
         Where the cost was charged.
     advice : PlacementAdvice or None
@@ -90,6 +93,7 @@
     deadline: Instant
     fingerprints: Fingerprints
     trace: RequestTrace
+    expected_start_ms: float | None = None
     charge: Charge = Charge.NOWHERE
     advice: PlacementAdvice | None = None
     advice_source: AdviceSource | None = None
--- a/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
@@ -22,6 +22,10 @@
 # buckets, in number by the share in the policy, use the new version.
 HASH_BUCKETS = 10_000
 
+# Added to a latency and to its estimate before they are compared. It stands for what
+# does not depend on the size of the request, and keeps small estimates from dominating.
+FIXED_LATENCY_MS = 20.0
+
 # A host and the wall time in ms at which its process started.
 Origin = tuple[HostId, int]
 
@@ -33,7 +37,8 @@
     Parameters
     ----------
     log_ms_sum : float
-        Sum of ln(latency in ms) of the successful requests.
+        Sum of ln(latency in ms) of the successful requests, for model requests in
+        multiples of the expected latency; see `Rollouts.record`.
     """
 
     requests: int = 0
@@ -187,6 +192,7 @@
         route: RouteName,
         failed: bool,
         latency_ms: float,
+        expected_ms: float | None = None,
     ) -> None:
         """Count a finished request while a rollout is undecided.
 
@@ -195,6 +201,10 @@
         latency_ms : float
             Time until the first event of a stream, or until the end of any other
             response; not used if the request failed.
+        expected_ms : float or None
+            Estimate of the latency by the size of the request and the load of the
+            upstream. The versions are then compared by multiples of it, as the new one
+            has less load and other requests. None for requests without an estimate.
         """
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state is not RolloutState.RUNNING:
@@ -205,14 +215,18 @@
         if failed:
             counts.failures += 1
         else:
-            counts.log_ms_sum += math.log(max(latency_ms, 1.0))
+            unit_ms = 1.0
+            if expected_ms is not None:
+                latency_ms += FIXED_LATENCY_MS
+                unit_ms = expected_ms + FIXED_LATENCY_MS
+            counts.log_ms_sum += math.log(max(latency_ms, 1.0) / unit_ms)
 
     def list_own(self) -> list[tuple[str, int, bool, str, int, int, float]]:
         """Return this host's counts of undecided rollouts, for its peers.
 
         Each item has the service, the offset of the order, whether the version is the
         new one, the route, the finished and the failed requests, and the sum of
-        ln(latency in ms) of the successful ones.
+        ln(latency) of the successful ones; see `record`.
         """
         return [
             (
--- a/libs/rollout/src/waxwingbarrow/rollout/_canary.py
+++ b/libs/rollout/src/waxwingbarrow/rollout/_canary.py
@@ -23,7 +23,8 @@
     Parameters
     ----------
     log_ms_sum : float
-        Sum of ``ln(latency in ms)`` over the successful requests.
+        Sum of ``ln(latency in ms)`` over the successful requests, or of the logarithm
+        of another measure of latency, the same for both versions.
     """
 
     route: RouteName
@@ -54,6 +55,14 @@
         Largest accepted ratio of the geometric mean latencies, new to old version.
     min_latency_samples : int
         Successful requests that each version needs for the latency comparison.
+    max_overall_latency_ratio : float
+        Largest accepted ratio of the mean latencies over all routes, new to old
+        version. It applies if the difference is significant.
+    log_latency_deviation : float
+        Standard deviation of ``ln(latency)`` between the requests of a route.
+    withdraw_deviations, suspect_deviations : float
+        Standard errors by which the new version must be slower over all routes for a
+        withdrawal, and for a delay of the completion.
     complete_after_fraction, decide_after_fraction : float
         Fraction of the duration after which a version without a fault is completed,
         and after which the decision is made with whatever requests there are.
@@ -69,6 +78,12 @@
     suspect_p_value: float = attrs.field(default=5e-2, validator=in_range(0, 1))
     max_latency_ratio: float = attrs.field(default=2.2, validator=in_range(1, 100))
     min_latency_samples: int = attrs.field(default=6, validator=in_range(1, 10_000))
+    max_overall_latency_ratio: float = attrs.field(
+        default=1.5, validator=in_range(1, 100)
+    )
+    log_latency_deviation: float = attrs.field(default=0.7, validator=in_range(0, 10))
+    withdraw_deviations: float = attrs.field(default=3.0, validator=in_range(0, 10))
+    suspect_deviations: float = attrs.field(default=1.6, validator=in_range(0, 10))
     complete_after_fraction: float = attrs.field(default=0.7, validator=in_range(0, 1))
     decide_after_fraction: float = attrs.field(default=0.88, validator=in_range(0, 1))
     min_requests: int = attrs.field(default=20, validator=in_range(1, 10_000))
@@ -133,6 +148,7 @@
     Withdraw(reason='failures on r: 5 of 10', is_final=False)
     """
     old_by_route = {counts.route: counts for counts in old}
+    new = list(new)
     suspected_reason = ""
     total = 0
     for counts in new:
@@ -148,6 +164,11 @@
             suspected_reason = failure_reason
         if old_counts is not None and _is_slow(counts, old_counts, policy):
             return Withdraw(f"slow on {counts.route}")
+    deviations = _measure_slowness(new, old_by_route, policy)
+    if deviations >= policy.withdraw_deviations:
+        return Withdraw("slow over all routes")
+    if deviations >= policy.suspect_deviations:
+        suspected_reason = suspected_reason or "slow over all routes"
     elapsed_fraction = (now.mono_ms - started.mono_ms) / (1000 * duration_s)
     if elapsed_fraction >= policy.decide_after_fraction:
         if suspected_reason:
@@ -206,3 +227,31 @@
         return False
     difference = counts.mean_log_ms - old_counts.mean_log_ms
     return difference > math.log(policy.max_latency_ratio)
+
+
+def _measure_slowness(
+    new: Iterable[RouteCounts],
+    old_by_route: dict[RouteName, RouteCounts],
+    policy: CanaryPolicy,
+) -> float:
+    """Return by how many standard errors the new version is slower over all routes.
+
+    The means are compared route by route, weighted by the requests of the new version,
+    so that a different mix of routes does not count. The result is 0.0 if the new
+    version is slower by less than `max_overall_latency_ratio`, or has too few requests.
+    """
+    samples, difference_sum, variance_sum = 0, 0.0, 0.0
+    for counts in new:
+        old = old_by_route.get(counts.route)
+        new_samples = counts.requests - counts.failures
+        old_samples = old.requests - old.failures if old is not None else 0
+        if old is None or new_samples <= 0 or old_samples <= 0:
+            continue
+        samples += new_samples
+        difference_sum += new_samples * (counts.mean_log_ms - old.mean_log_ms)
+        variance_sum += new_samples + new_samples**2 / old_samples
+    if samples < policy.min_latency_samples:
+        return 0.0
+    if difference_sum / samples <= math.log(policy.max_overall_latency_ratio):
+        return 0.0
+    return difference_sum / (policy.log_latency_deviation * math.sqrt(variance_sum))
--- a/libs/rollout/tests/test_canary.py
+++ b/libs/rollout/tests/test_canary.py
@@ -1,6 +1,7 @@
 """Guards against canaries that keep a faulty version or withdraw a good one."""
 
 import math
+import random
 
 import pytest
 
@@ -17,6 +18,8 @@
 START = Instant(0, 0)
 DURATION_S = 12.0
 POLICY = CanaryPolicy()
+# Standard deviation of the logarithms of latencies in the plays of `hasty`.
+LOG_DEVIATION = 0.7
 
 
 def make_counts(requests, failures=0, latency_ms=100.0, route="r"):
@@ -53,6 +56,57 @@
     assert isinstance(decide(OLD, new, elapsed_s), kind)
 
 
+# Latencies of `hasty`, as multiples of the expected ones: seed 1 and seed 8.
+HASTY_OLD = [
+    make_counts(190, 0, 1.85, "tag"),
+    make_counts(251, 0, 2.18, "answer"),
+    make_counts(147, 0, 1.47, "plan"),
+]
+HASTY_NEW = [
+    make_counts(11, 0, 3.90, "tag"),
+    make_counts(8, 0, 3.19, "answer"),
+    make_counts(4, 0, 4.60, "plan"),
+]
+
+
+def test_a_version_that_is_slower_on_all_routes_is_withdrawn():
+    # Guards against EXPOSURE of `hasty`: on no route alone were there enough requests
+    # with a difference that is large enough, and the slow version was completed.
+    assert isinstance(decide(HASTY_OLD, HASTY_NEW, 9), Withdraw)
+
+
+def test_a_version_that_may_be_slower_is_not_completed_early():
+    new = [make_counts(8, 0, 3.4, "answer"), make_counts(13, 0, 2.85, "tag")]
+    assert isinstance(decide(HASTY_OLD, new, 9), Continue)
+    assert isinstance(decide(HASTY_OLD, new, 11.5), Withdraw)
+
+
+def test_a_version_with_another_mix_of_routes_is_not_slower():
+    # Guards against a comparison of means over all routes.
+    old = [make_counts(500, 0, 50.0, "short"), make_counts(20, 0, 900.0, "long")]
+    new = [make_counts(5, 0, 50.0, "short"), make_counts(20, 0, 900.0, "long")]
+    assert isinstance(decide(old, new, 9), Complete)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_version_of_the_same_speed_is_completed(seed):
+    # Guards against withdrawals by chance, with checks after every request.
+    rng = random.Random(seed)
+    old = [make_counts(400, 0, 1.8, "tag"), make_counts(300, 0, 1.5, "plan")]
+    sums = {"tag": 0.0, "plan": 0.0}
+    requests = {"tag": 0, "plan": 0}
+    for _ in range(60):
+        route, mean = rng.choice([("tag", 1.8), ("plan", 1.5)])
+        requests[route] += 1
+        sums[route] += rng.gauss(math.log(mean), LOG_DEVIATION)
+        new = [
+            RouteCounts(RouteName(name), requests[name], 0, sums[name])
+            for name in requests
+        ]
+        assert not isinstance(decide(old, new, 5), Withdraw)
+    assert isinstance(decide(old, new, 10), Complete)
+
+
 def test_late_fault_is_withdrawn():
     good_so_far = [make_counts(40)]
     assert isinstance(decide(OLD, good_so_far, 8), Continue)
