Keep blocked prompt parts in the store

The host that blocks a part, or ends a block, now records that in a topic of its own, and hosts read the topic when they start: one call for each start and one for each block. Ruled out: the hosts' memory alone, which suffices only while one host lives on; a longer list in the heartbeats.

--- /dev/null
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_records.py
@@ -0,0 +1,107 @@
+"""Records of blocked prompt parts in the store.
+
+Hosts tell each other of blocked parts, but when all of them restart at once each would
+learn of a part anew, from further crashes.
+"""
+
+import asyncio
+import logging
+
+import msgspec
+from result import Err, Result
+
+from waxwingbarrow.core import Clock
+from waxwingbarrow.gateway._crash_tracker import (
+    PART_RETENTION_MS,
+    CrashTracker,
+    PartLosses,
+)
+from waxwingbarrow.gateway._ports import (
+    KeyedPage,
+    KeyedRecord,
+    Store,
+    StoreFailure,
+    StoreRefused,
+    Topic,
+    describe_failure,
+)
+
+logger = logging.getLogger("waxwingbarrow.gateway.crashes")
+
+RETRY_INTERVAL_S = 0.5
+
+
+class _Record(msgspec.Struct):
+    """Value of a record.
+
+    Parameters
+    ----------
+    recorded_ms : int
+        Wall time at which the part was blocked.
+    """
+
+    recorded_ms: int
+    losses: PartLosses
+
+
+class CrashRecorder:
+    """Reads the blocked parts when the host starts, and records those that it blocks.
+
+    Only the host that has seen the crash that led to the block records it.
+    """
+
+    def __init__(self, store: Store, tracker: CrashTracker, clock: Clock) -> None:
+        self._store = store
+        self._tracker = tracker
+        self._clock = clock
+        self._changed = asyncio.Event()
+        tracker.on_block_changed = self._changed.set
+
+    async def run(self) -> None:
+        """Restore and record blocked parts until cancelled."""
+        while not self._restore(await self._store.read_newest(Topic.CRASHES)):
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            for part, losses in self._tracker.take_unrecorded():
+                await self._write(part, losses)
+
+    def _restore(self, read: Result[KeyedPage, StoreFailure]) -> bool:
+        """Apply the records; return whether the store answered."""
+        if isinstance(read, Err):
+            # The topic does not exist until its first record is written.
+            failure = read.err_value
+            return isinstance(failure, StoreRefused) and failure.status == 404
+        for record in read.ok_value.records:
+            self._apply(record)
+        return True
+
+    def _apply(self, record: KeyedRecord) -> None:
+        if not record.value:
+            return
+        now = self._clock.now()
+        try:
+            restored = msgspec.json.decode(record.value, type=_Record)
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "unreadable record", extra={"key": record.key, "reason": str(error)}
+            )
+            return
+        if now.wall_ms - restored.recorded_ms < PART_RETENTION_MS:
+            self._tracker.update_from_peer([], [restored.losses], now)
+
+    async def _write(self, part: str, losses: PartLosses | None) -> None:
+        """Record a part that is blocked, or remove the record of one that is not."""
+        value = b""
+        if losses is not None:
+            value = msgspec.json.encode(_Record(self._clock.now().wall_ms, losses))
+        written = await self._store.write_keyed(Topic.CRASHES, part, value)
+        if isinstance(written, Err):
+            logger.warning(
+                "blocked prompt part not recorded",
+                extra={
+                    "prompt_part": part,
+                    "reason": describe_failure(written.err_value),
+                },
+            )
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
@@ -1,7 +1,7 @@
 """Tracking of requests and prompt parts that crash the upstreams which run them."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -84,6 +84,11 @@
     that begins to answer. All requests that were about to be answered there are lost
     with them, so a part counts as the cause only if it explains several crashes and no
     request with it has been completed since.
+
+    Attributes
+    ----------
+    on_block_changed : callable
+        Called when this host's own observations block a part or end a block.
     """
 
     def __init__(self) -> None:
@@ -91,6 +96,8 @@
         self._parts = CrashSuspects(retention_ms=PART_RETENTION_MS)
         self._losses: list[_Loss] = []
         self._blocked: frozenset[str] = frozenset()
+        self._unrecorded: set[str] = set()
+        self.on_block_changed: Callable[[], None] = lambda: None
         # Greatest number of parts before each part that was lost.
         self._depths: dict[str, int] = {}
         # Monotonic time of the last change of a part that this host has observed.
@@ -159,7 +166,7 @@
             "upstream crashed",
             extra={"upstream": upstream, "requests": len(counted), "parts": parts},
         )
-        self._update_blocked(now)
+        self._update_blocked(now, is_observed=True)
 
     def note_completion(
         self,
@@ -183,7 +190,7 @@
         cleared = [part for part in fingerprints.parts if self._parts.clear(part, now)]
         if cleared:
             self._note_observed(cleared, now)
-            self._update_blocked(now)
+            self._update_blocked(now, is_observed=True)
 
     def _note_observed(self, parts: Iterable[str], now: Instant) -> None:
         self._observed_ms = {
@@ -196,7 +203,7 @@
     def _note_depth(self, part: str, depth: int) -> None:
         self._depths[part] = max(depth, self._depths.get(part, 0))
 
-    def _update_blocked(self, now: Instant) -> None:
+    def _update_blocked(self, now: Instant, is_observed: bool = False) -> None:
         suspicions = self._parts.list_suspicions(now)
         known = {item.fingerprint for item in suspicions}
         self._depths = {p: depth for p, depth in self._depths.items() if p in known}
@@ -211,7 +218,11 @@
                 "requests with a prompt part are served again",
                 extra={"prompt_part": part},
             )
+        changed = blocked ^ self._blocked
         self._blocked = blocked
+        if changed and is_observed:
+            self._unrecorded |= changed
+            self.on_block_changed()
 
     def _count_crashes(self, part: str) -> int:
         known = self._parts.find(part)
@@ -241,18 +252,27 @@
             if now.mono_ms - at_ms < SHARING_MS
         ]
         names = list(dict.fromkeys([*sorted(self._blocked), *reversed(recent)]))
-        shared = (self._parts.find(part) for part in names[:MAX_SHARED_PARTS])
+        shared = (self._get_losses(part) for part in names[:MAX_SHARED_PARTS])
+        return [losses for losses in shared if losses is not None]
+
+    def take_unrecorded(self) -> list[tuple[str, PartLosses | None]]:
+        """Return and forget the parts for `on_block_changed`.
+
+        A part comes with its losses while it is blocked.
+        """
+        changed, self._unrecorded = sorted(self._unrecorded), set()
         return [
-            (
-                known.fingerprint,
-                self._depths.get(known.fingerprint, 0),
-                _to_pairs(known.lost),
-                _to_pairs(known.cleared),
-            )
-            for known in shared
-            if known is not None
+            (part, self._get_losses(part) if part in self._blocked else None)
+            for part in changed
         ]
 
+    def _get_losses(self, part: str) -> PartLosses | None:
+        known = self._parts.find(part)
+        if known is None:
+            return None
+        depth = self._depths.get(part, 0)
+        return part, depth, _to_pairs(known.lost), _to_pairs(known.cleared)
+
     def update_from_peer(
         self,
         items: list[tuple[str, Processes]],
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -21,6 +21,7 @@
 from waxwingbarrow.gateway._callers import CallerServer
 from waxwingbarrow.gateway._change_applier import ChangeApplier
 from waxwingbarrow.gateway._clock import BootClock
+from waxwingbarrow.gateway._crash_records import CrashRecorder
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._dispatch import Dispatcher
 from waxwingbarrow.gateway._duties import MEMBER_TTL_MS, DutyRunner, DutyTask, Lease
@@ -134,6 +135,7 @@
         self._usage = UsageCounter(bounds.usage_window_s)
         self._rollouts = Rollouts(CanaryPolicy())
         self._crash_tracker = CrashTracker()
+        self._crash_recorder = CrashRecorder(store, self._crash_tracker, clock)
         self._retry_budgets = RetryBudgets(bounds)
         self._work_meter = WorkMeter()
         self._store_health = StoreHealth(clock)
@@ -386,6 +388,7 @@
             self._follower.follow_operator(),
             self._follower.follow_upstreams(),
             self._follow_status(),
+            self._crash_recorder.run(),
             self._peer_protocol.send_heartbeats(),
             self._tick_loop(),
             self._fetch_from_seeds(),
--- a/libs/gateway/src/waxwingbarrow/gateway/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_ports.py
@@ -148,6 +148,8 @@
         States of rollouts.
     HOSTS
         Registrations of hosts.
+    CRASHES
+        Prompt parts that crash upstreams.
     USAGE
         Usage of each time window; a plain topic, the others are keyed.
     """
@@ -156,6 +158,7 @@
     UPSTREAMS = "upstreams"
     STATUS = "status"
     HOSTS = "hosts"
+    CRASHES = "crashes"
     USAGE = "usage"
 
 
