Do not count workers that the platform is about to stop

Cause: the workers of all versions counted as ready. Now only those of the version that stays count. Ruled out: a pause before workers are returned, which only delays it.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -304,6 +304,7 @@
                 lambda now: self._peer_protocol.is_full_mesh(now),
                 lambda now: self._peer_protocol.measure_coverage(now),
                 self._rollouts.is_running,
+                self._rollouts.find_stopping_versions,
             )
             tasks.append(self._scaling)
         # A restarted process joins as another member, so it never uses the fencing
--- a/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
@@ -307,6 +307,21 @@
         rollout = self._rollouts.get(service)
         return rollout is not None and rollout.state is RolloutState.RUNNING
 
+    def find_stopping_versions(
+        self, service: ServiceName, known: set[VersionName]
+    ) -> frozenset[VersionName]:
+        """Return the known versions that the platform stops after the decisions so far.
+
+        After a completion these are all others, after a withdrawal the new one.
+        """
+        if self.is_running(service):
+            return frozenset()
+        done = self._completed_versions.get(service)
+        if done is not None and done in known:
+            return frozenset(known - {done})
+        stopping = frozenset(self._withdrawn_versions.get(service, set()) & known)
+        return stopping if stopping < known else frozenset()
+
     def list_rollouts(self) -> list[Rollout]:
         """Return the newest rollout of each service."""
         return list(self._rollouts.values())
--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 from result import Err
@@ -15,7 +15,7 @@
     WorkerPool,
     plan_scaling,
 )
-from waxwingbarrow.core import Instant, ServiceName
+from waxwingbarrow.core import Instant, ServiceName, VersionName
 from waxwingbarrow.gateway._duties import Lease
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._model import Scaling, Service
@@ -93,6 +93,9 @@
     is_rolling_out : callable
         Returns whether a service's traffic is being moved to a new version. Its workers
         run beside the old ones, so none are returned meanwhile.
+    find_stopping_versions : callable
+        Returns which of the known versions of a service the platform stops, as a
+        rollout was decided. Their workers do not count.
     """
 
     def __init__(
@@ -105,7 +108,10 @@
         policy: ScalingPolicy,
         is_full_mesh: Callable[[Instant], bool],
         measure_coverage: Callable[[Instant], float],
-        is_rolling_out: Callable[[ServiceName], bool] = lambda service: False,
+        is_rolling_out: Callable[[ServiceName], bool],
+        find_stopping_versions: Callable[
+            [ServiceName, set[VersionName]], Collection[VersionName]
+        ],
     ) -> None:
         self._fleet = fleet
         self._work_meter = work_meter
@@ -116,6 +122,7 @@
         self._is_full_mesh = is_full_mesh
         self._measure_coverage = measure_coverage
         self._is_rolling_out = is_rolling_out
+        self._find_stopping_versions = find_stopping_versions
         self._orders: dict[ServiceName, _ServiceOrders] = {}
 
     def note_initial_workers(self, now: Instant) -> None:
@@ -170,11 +177,14 @@
                     return
 
     def _count_ready(self, service: ServiceName) -> dict[WorkerPool, int]:
-        counts: Counter[WorkerPool] = Counter()
-        for upstream in self._fleet.list_usable(service, None):
-            entry = upstream.entry
-            counts[WorkerPool(entry.data_centre, entry.reclaimable)] += 1
-        return dict(counts)
+        entries = [item.entry for item in self._fleet.list_usable(service, None)]
+        known = {entry.version for entry in entries}
+        stopping = self._find_stopping_versions(service, known)
+        return Counter(
+            WorkerPool(entry.data_centre, entry.reclaimable)
+            for entry in entries
+            if entry.version not in stopping
+        )
 
     def _measure_need(
         self, service: Service, orders: _ServiceOrders, now: Instant
--- a/libs/gateway/tests/test_leased_cloud.py
+++ b/libs/gateway/tests/test_leased_cloud.py
@@ -94,6 +94,8 @@
         ScalingPolicy(),
         lambda now: True,
         lambda now: 1.0,
+        lambda service: False,
+        lambda service, known: (),
     )
     task.note_initial_workers(Instant(0, 0))
     return task
--- a/libs/gateway/tests/test_scaling.py
+++ b/libs/gateway/tests/test_scaling.py
@@ -57,6 +57,7 @@
         self.lease = Lease(3_000)
         self.coverage = 1.0
         self.is_rolling_out = False
+        self.stopping_versions = set()
         self.work_meter = WorkMeter()
         self.task = ScalingTask(
             self.fleet,
@@ -68,18 +69,19 @@
             lambda now: True,
             lambda now: self.coverage,
             lambda service: self.is_rolling_out,
+            lambda service, known: self.stopping_versions,
         )
 
-    def register(self, centre, count, now, *, reclaimable=False):
+    def register(self, centre, count, now, *, reclaimable=False, version="v1"):
         for number in range(count):
-            upstream = UpstreamId(f"{centre}{reclaimable}{number}")
+            upstream = UpstreamId(f"{centre}{reclaimable}{number}{version}")
             entry = UpstreamEntry(
                 upstream=upstream,
                 service=POOL,
                 host="10.0.0.1",
                 port=80,
                 data_centre=centre,
-                version=VersionName("v1"),
+                version=VersionName(version),
                 reclaimable=reclaimable,
             )
             host = f"10.{CENTRES.index(centre)}.{int(reclaimable)}.{number}"
@@ -191,3 +193,20 @@
     host.is_rolling_out = False
     host.order(at(13_250))
     assert any(count < ready.get(pool, 0) for pool, count in host.cloud.ordered.items())
+
+
+def test_workers_that_the_platform_is_about_to_stop_do_not_count():
+    # Guards against a completed version without workers: on `under-load` the extra
+    # workers were returned as the rollout was completed, new ones among them, and the
+    # platform stopped the old ones at the same moment.
+    host = make_host_with_measured_work(20_000)
+    for centre in CENTRES:
+        host.register(centre, 4, at(12_000), version="v2")
+    host.is_rolling_out = True
+    host.order(at(19_000))
+    host.is_rolling_out = False
+    host.stopping_versions = {VersionName("v1")}
+    host.cloud.ordered.clear()
+    host.order(at(20_000))
+    kept = {WorkerPool(centre, False): 4 for centre in CENTRES}
+    assert all(count >= kept.get(pool, 0) for pool, count in host.cloud.ordered.items())
