End blocks of prompt parts, and trust parts that complete

Three faults of the block, found on reading it again: it did not end ten minutes after the last crash, as its requests are refused and nothing else looked at the time; hosts that repeat what they learned would have kept a block alive among themselves; and a part of many requests was blocked for a moment when three upstreams were lost together. Reports and records now carry the time since the last change, and those that expire soon are not taken over. A part with which a request was completed in the 2 s before a loss is not suspected. Ruled out: trust for longer, which delays the block of a part that turns bad. Before: the three new tests fail. After: they pass.

--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_records.py
@@ -11,11 +11,7 @@
 from result import Err, Result
 
 from waxwingbarrow.core import Clock
-from waxwingbarrow.gateway._crash_tracker import (
-    PART_RETENTION_MS,
-    CrashTracker,
-    PartLosses,
-)
+from waxwingbarrow.gateway._crash_tracker import CrashTracker, PartLosses
 from waxwingbarrow.gateway._ports import (
     KeyedPage,
     KeyedRecord,
@@ -37,7 +33,7 @@
     Parameters
     ----------
     recorded_ms : int
-        Wall time at which the part was blocked.
+        Wall time at which it was written, to which the age in `losses` refers.
     """
 
     recorded_ms: int
@@ -64,7 +60,7 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            for part, losses in self._tracker.take_unrecorded():
+            for part, losses in self._tracker.take_unrecorded(self._clock.now()):
                 await self._write(part, losses)
 
     def _restore(self, read: Result[KeyedPage, StoreFailure]) -> bool:
@@ -88,8 +84,9 @@
                 "unreadable record", extra={"key": record.key, "reason": str(error)}
             )
             return
-        if now.wall_ms - restored.recorded_ms < PART_RETENTION_MS:
-            self._tracker.update_from_peer([], [restored.losses], now)
+        part, depth, age_ms, lost, cleared = restored.losses
+        age_ms += max(now.wall_ms - restored.recorded_ms, 0)
+        self._tracker.update_from_peer([], [(part, depth, age_ms, lost, cleared)], now)
 
     async def _write(self, part: str, losses: PartLosses | None) -> None:
         """Record a part that is blocked, or remove the record of one that is not."""
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
@@ -1,6 +1,7 @@
 """Tracking of requests and prompt parts that crash the upstreams which run them."""
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -29,6 +30,9 @@
 # A request whose stream has gone on for this long did not crash its upstream: that
 # happens as the answer begins.
 SURVIVAL_MS = 500
+# A part is not suspected if a request with it was completed within this time before a
+# loss, as with parts of many requests when several upstreams are lost together.
+TRUST_MS = 2_000
 # Time for which peers are told of a change, and the number of parts that they are told
 # of at a time.
 SHARING_MS = 4_000
@@ -36,9 +40,9 @@
 
 # Upstreams with the wall time in ms at which their processes started.
 Processes = list[tuple[str, int]]
-# Key of a part, its depth in the prompts, the upstreams that crashed under it, and
-# those of them that it did not crash.
-PartLosses = tuple[str, int, Processes, Processes]
+# Key of a part, its depth in the prompts, the time in ms since the last change, the
+# upstreams that crashed under it, and those of them that it did not crash.
+PartLosses = tuple[str, int, int, Processes, Processes]
 
 
 @attrs.frozen
@@ -102,14 +106,20 @@
         self._depths: dict[str, int] = {}
         # Monotonic time of the last change of a part that this host has observed.
         self._observed_ms: dict[str, int] = {}
+        # Monotonic time of the last completed request of each part, the oldest first.
+        self._completed_ms: OrderedDict[str, int] = OrderedDict()
 
     def find_refusal(self, fingerprints: Fingerprints, now: Instant) -> str | None:
         """Return why a request is refused; None if it is not."""
         if self._requests.check(fingerprints.request, now).is_err():
             return "crashes upstreams"
-        if not self._blocked.isdisjoint(fingerprints.parts):
-            return "a part of the prompt crashes upstreams"
-        return None
+        if self._blocked.isdisjoint(fingerprints.parts):
+            return None
+        # The block may have expired.
+        self._update_blocked(now)
+        if self._blocked.isdisjoint(fingerprints.parts):
+            return None
+        return "a part of the prompt crashes upstreams"
 
     def note_loss(
         self,
@@ -128,7 +138,13 @@
         """
         if first_event_ms is not None and now.mono_ms - first_event_ms >= SURVIVAL_MS:
             self._clear_parts(fingerprints, now)
-            fingerprints = attrs.evolve(fingerprints, parts=())
+        trusted_ms = now.mono_ms - TRUST_MS
+        suspected = tuple(
+            part
+            for part in fingerprints.parts
+            if self._completed_ms.get(part, trusted_ms) <= trusted_ms
+        )
+        fingerprints = attrs.evolve(fingerprints, parts=suspected)
         self._losses = [
             loss
             for loss in self._losses
@@ -169,29 +185,34 @@
         self._update_blocked(now, is_observed=True)
 
     def note_completion(
-        self,
-        fingerprints: Fingerprints,
-        upstream: UpstreamId,
-        succeeded: bool,
-        now: Instant,
+        self, fingerprints: Fingerprints, succeeded: bool, now: Instant
     ) -> None:
         """Clear a request that completed: it did not cause its earlier losses.
 
         Its parts are cleared only if it succeeded, as an upstream may reject a request
         without beginning an answer.
         """
-        self._requests.finish(
-            fingerprints.request, upstream, Incarnation(0, 0), True, now
-        )
+        self._requests.clear(fingerprints.request, now)
         if succeeded:
             self._clear_parts(fingerprints, now)
 
     def _clear_parts(self, fingerprints: Fingerprints, now: Instant) -> None:
+        for part in fingerprints.parts:
+            self._completed_ms[part] = now.mono_ms
+            self._completed_ms.move_to_end(part)
+        self._forget_completions(now)
         cleared = [part for part in fingerprints.parts if self._parts.clear(part, now)]
         if cleared:
             self._note_observed(cleared, now)
             self._update_blocked(now, is_observed=True)
 
+    def _forget_completions(self, now: Instant) -> None:
+        while self._completed_ms:
+            oldest = next(iter(self._completed_ms))
+            if now.mono_ms - self._completed_ms[oldest] <= TRUST_MS:
+                return
+            del self._completed_ms[oldest]
+
     def _note_observed(self, parts: Iterable[str], now: Instant) -> None:
         self._observed_ms = {
             part: at_ms
@@ -252,26 +273,31 @@
             if now.mono_ms - at_ms < SHARING_MS
         ]
         names = list(dict.fromkeys([*sorted(self._blocked), *reversed(recent)]))
-        shared = (self._get_losses(part) for part in names[:MAX_SHARED_PARTS])
+        shared = (self._get_losses(part, now) for part in names[:MAX_SHARED_PARTS])
         return [losses for losses in shared if losses is not None]
 
-    def take_unrecorded(self) -> list[tuple[str, PartLosses | None]]:
+    def take_unrecorded(self, now: Instant) -> list[tuple[str, PartLosses | None]]:
         """Return and forget the parts for `on_block_changed`.
 
         A part comes with its losses while it is blocked.
         """
         changed, self._unrecorded = sorted(self._unrecorded), set()
         return [
-            (part, self._get_losses(part) if part in self._blocked else None)
+            (part, self._get_losses(part, now) if part in self._blocked else None)
             for part in changed
         ]
 
-    def _get_losses(self, part: str) -> PartLosses | None:
+    def _get_losses(self, part: str, now: Instant) -> PartLosses | None:
         known = self._parts.find(part)
         if known is None:
             return None
-        depth = self._depths.get(part, 0)
-        return part, depth, _to_pairs(known.lost), _to_pairs(known.cleared)
+        return (
+            part,
+            self._depths.get(part, 0),
+            self._parts.measure_age_ms(part, now),
+            _to_pairs(known.lost),
+            _to_pairs(known.cleared),
+        )
 
     def update_from_peer(
         self,
@@ -289,13 +315,13 @@
         self._requests.merge(
             (CrashSuspicion(name, _from_pairs(lost)) for name, lost in items), now
         )
-        for part, depth, _, _ in parts:
-            self._note_depth(part, depth)
-        reported = (
-            CrashSuspicion(part, _from_pairs(lost), _from_pairs(cleared))
-            for part, _, lost, cleared in parts
-        )
-        if self._parts.merge(reported, now):
+        is_new = False
+        for part, depth, age_ms, lost, cleared in parts:
+            reported = CrashSuspicion(part, _from_pairs(lost), _from_pairs(cleared))
+            if self._parts.merge_aged(reported, age_ms, now):
+                self._note_depth(part, depth)
+                is_new = True
+        if is_new:
             self._update_blocked(now)
 
 
@@ -304,20 +330,22 @@
 
     Examples
     --------
-    >>> merge_part_losses([[("pool/1", 0, [("i-1", 5)], [])],
-    ...                    [("pool/1", 1, [("i-2", 7)], [("i-1", 5)])]])
-    [('pool/1', 1, [('i-1', 5), ('i-2', 7)], [('i-1', 5)])]
+    >>> merge_part_losses([[("pool/1", 0, 40, [("i-1", 5)], [])],
+    ...                    [("pool/1", 1, 90, [("i-2", 7)], [("i-1", 5)])]])
+    [('pool/1', 1, 40, [('i-1', 5), ('i-2', 7)], [('i-1', 5)])]
     """
     depths: dict[str, int] = {}
+    ages_ms: dict[str, int] = {}
     lost_under: dict[str, set[tuple[str, int]]] = {}
     cleared_of: dict[str, set[tuple[str, int]]] = {}
     for items in lists:
-        for part, depth, lost, cleared in items:
+        for part, depth, age_ms, lost, cleared in items:
             depths[part] = max(depth, depths.get(part, 0))
+            ages_ms[part] = min(age_ms, ages_ms.get(part, age_ms))
             lost_under.setdefault(part, set()).update(lost)
             cleared_of.setdefault(part, set()).update(cleared)
     return [
-        (part, depth, sorted(lost_under[part]), sorted(cleared_of[part]))
+        (part, depth, ages_ms[part], sorted(lost_under[part]), sorted(cleared_of[part]))
         for part, depth in depths.items()
     ]
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -438,7 +438,7 @@
             self._report_failure(plan, upstream, outcome, failed, now)
         if isinstance(outcome, ResponseReceived):
             succeeded = outcome.head.status < 300
-            self._crash_tracker.note_completion(plan.fingerprints, name, succeeded, now)
+            self._crash_tracker.note_completion(plan.fingerprints, succeeded, now)
         if not isinstance(outcome, NotSent | NotRun):
             first_ms = now.mono_ms
             if job is not None and job.first_event_ms is not None:
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -60,8 +60,8 @@
         its end offset; None if it has not.
     part_losses : list
         Service and identifier of prompt parts, and for each its depth in the prompts,
-        the upstreams that crashed under it and those of them that it did not crash,
-        with their start times.
+        the time in ms since the last change, the upstreams that crashed under it and
+        those of them that it did not crash, with their start times.
     """
 
     format: int
--- a/libs/gateway/tests/test_crash_tracker.py
+++ b/libs/gateway/tests/test_crash_tracker.py
@@ -30,7 +30,7 @@
 
 
 def complete(tracker, fingerprints, ms, succeeded=True):
-    tracker.note_completion(fingerprints, UpstreamId("u99"), succeeded, at(ms))
+    tracker.note_completion(fingerprints, succeeded, at(ms))
 
 
 def bad_request(number):
@@ -155,12 +155,25 @@
             tracker.note_loss(lost, upstream, Incarnation(1, 0), None, at(number))
         assert not refuses(tracker, SHARED, BAD)
 
-    def test_a_part_that_goes_on_coming_stays_blocked_for_a_day_of_tests(self):
+    def test_a_block_ends_some_time_after_the_last_crash(self):
+        # Guards against a part that is blocked for ever, as none of its requests is
+        # sent that could complete.
         tracker = CrashTracker()
         for number in range(3):
             lose(tracker, f"u{number}", 0, bad_request(number))
-        late = at(PART_RETENTION_MS - 1)
-        assert tracker.find_refusal(bad_request(9), late) is not None
+        before, after = at(PART_RETENTION_MS - 1_000), at(PART_RETENTION_MS + 1_000)
+        assert tracker.find_refusal(bad_request(9), before) is not None
+        assert tracker.find_refusal(bad_request(9), after) is None
+
+    def test_a_part_of_many_requests_is_not_blocked_when_upstreams_crash_together(self):
+        # Guards against a block of a whole route while a rack of upstreams is lost:
+        # its requests were in flight on all of them, and some had just completed.
+        tracker = CrashTracker()
+        complete(tracker, sound_request(0), 900)
+        for number in range(4):
+            lose(tracker, f"u{number}", 1_000, sound_request(1 + number))
+        assert not refuses(tracker, SHARED)
+        assert not refuses(tracker, SOUND)
 
 
 class TestExchange:
@@ -193,6 +206,17 @@
         late.update_from_peer([], second.list_shared_parts(at(ms)), at(ms))
         assert refuses(late, SHARED, BAD)
 
+    def test_hosts_do_not_keep_a_block_alive_among_themselves(self):
+        # Guards against losses that each host learns anew as its own copy expires.
+        trackers = [CrashTracker() for _ in range(3)]
+        for number in range(3):
+            lose(trackers[0], f"u{number}", 0, bad_request(number))
+        for ms in range(100, PART_RETENTION_MS + 120_000, 5_000):
+            exchange(trackers, ms)
+        late = at(PART_RETENTION_MS + 120_000)
+        for tracker in trackers:
+            assert tracker.find_refusal(bad_request(9), late) is None
+
     def test_a_report_is_bounded_when_many_upstreams_crash_at_once(self):
         # Guards against heartbeats that grow with all requests of lost upstreams.
         tracker = CrashTracker()
--- a/libs/routing/src/waxwingbarrow/routing/_crashes.py
+++ b/libs/routing/src/waxwingbarrow/routing/_crashes.py
@@ -9,6 +9,8 @@
 from waxwingbarrow.core import CrashSuspected, Incarnation, Instant, UpstreamId
 
 REFUSAL_LOSS_COUNT = 2
+# Fraction of the retention time after which a suspicion is not merged any more.
+MAX_MERGED_AGE_RATIO = 0.9
 
 
 @attrs.frozen(order=True)
@@ -150,14 +152,14 @@
         if completed and known is not None:
             others = frozenset(item for item in known[0].lost if item != process)
             cleared = known[0].cleared | others
-            self._store(attrs.evolve(known[0], cleared=cleared), now)
+            self._store(attrs.evolve(known[0], cleared=cleared), now.mono_ms)
 
     def clear(self, fingerprint: str, now: Instant) -> bool:
         """Clear all known losses of a fingerprint; return whether there were any."""
         known = self._known.get(fingerprint)
         if known is None or not known[0].uncleared:
             return False
-        self._store(attrs.evolve(known[0], cleared=known[0].lost), now)
+        self._store(attrs.evolve(known[0], cleared=known[0].lost), now.mono_ms)
         return True
 
     def find(self, fingerprint: str) -> CrashSuspicion | None:
@@ -202,7 +204,7 @@
         process = UpstreamIncarnation(upstream, incarnation)
         running = tuple(self._running.pop(process, {}))
         for fingerprint in running:
-            self._merge(CrashSuspicion(fingerprint, frozenset({process})), now)
+            self._merge(CrashSuspicion(fingerprint, frozenset({process})), now.mono_ms)
         return running
 
     def list_suspicions(self, now: Instant) -> tuple[CrashSuspicion, ...]:
@@ -211,7 +213,16 @@
         They need them because a caller may retry the request through any host.
         """
         self._expire(now)
-        return tuple(known for known, _ in self._known.values())
+        return tuple(
+            known
+            for known, changed_ms in self._known.values()
+            if now.mono_ms - changed_ms < self._retention_ms
+        )
+
+    def measure_age_ms(self, fingerprint: str, now: Instant) -> int:
+        """Return the time since the last change of a fingerprint, 0 for a new one."""
+        known = self._known.get(fingerprint)
+        return 0 if known is None else now.mono_ms - known[1]
 
     def merge(self, suspicions: Iterable[CrashSuspicion], now: Instant) -> bool:
         """Merge suspicions from other hosts; order and repetition do not matter.
@@ -221,12 +232,22 @@
         bool
             Whether anything was new.
         """
-        return any([self._merge(suspicion, now) for suspicion in suspicions])
+        return any([self._merge(item, now.mono_ms) for item in suspicions])
+
+    def merge_aged(self, suspicion: CrashSuspicion, age_ms: int, now: Instant) -> bool:
+        """Merge a suspicion that last changed before; return whether it was new.
+
+        One that expires soon is ignored. So hosts that repeat what they learned do not
+        keep it alive among themselves.
+        """
+        if age_ms >= self._retention_ms * MAX_MERGED_AGE_RATIO:
+            return False
+        return self._merge(suspicion, now.mono_ms - max(age_ms, 0))
 
-    def _merge(self, suspicion: CrashSuspicion, now: Instant) -> bool:
+    def _merge(self, suspicion: CrashSuspicion, changed_ms: int) -> bool:
         known = self._known.get(suspicion.fingerprint)
         if known is None:
-            self._store(suspicion, now)
+            self._store(suspicion, changed_ms)
             return True
         merged = CrashSuspicion(
             suspicion.fingerprint,
@@ -236,11 +257,11 @@
         # Gossip repeats unchanged items, which must not extend the retention time.
         if merged == known[0]:
             return False
-        self._store(merged, now)
+        self._store(merged, max(changed_ms, known[1]))
         return True
 
-    def _store(self, suspicion: CrashSuspicion, now: Instant) -> None:
-        self._known[suspicion.fingerprint] = (suspicion, now.mono_ms)
+    def _store(self, suspicion: CrashSuspicion, changed_ms: int) -> None:
+        self._known[suspicion.fingerprint] = (suspicion, changed_ms)
         self._known.move_to_end(suspicion.fingerprint)
         while len(self._known) > self._max_fingerprints:
             self._known.popitem(last=False)
