Move the check of upstreams that dropped a request to a module of its own

The dispatcher had grown by it. Moved without a change of behaviour; nothing was ruled out or measured beyond the tests of crashing parts, which pass (24 tests).

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -21,6 +21,7 @@
 )
 from waxwingbarrow.gateway._callers import Responder
 from waxwingbarrow.gateway._channels import BrokenError
+from waxwingbarrow.gateway._crash_checker import CrashChecker
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
 from waxwingbarrow.gateway._fleet import Fleet
@@ -52,9 +53,6 @@
 ATTEMPT_TIME_SHARE = 0.45
 # With less time left than this, a failed request is not retried.
 MIN_RETRY_MS = 2.0
-# Delay after which a new connection shows whether an upstream that dropped a request
-# has crashed.
-CRASH_CHECK_DELAY_S = 0.05
 # Events of a stream beyond one for each output token, such as one that ends it.
 MAX_EXTRA_EVENTS = 16
 
@@ -87,7 +85,7 @@
         self._metrics = metrics
         self._retry_budgets = retry_budgets
         self._reporter = reporter
-        self._crash_checks: dict[Upstream, asyncio.Task[None]] = {}
+        self._crash_checker = CrashChecker(crash_tracker, fleet, clock)
 
     async def handle(self, call: Call, responder: Responder) -> None:
         """Handle one request and write its response."""
@@ -427,8 +425,10 @@
             case ConnectionLost(reason):
                 failed = True
                 self._fleet.record(upstream, True, now)
-                if not upstream.entry.leaving and not upstream.gone:
-                    self._note_loss(plan, upstream, job, now)
+                first_event_ms = job.first_event_ms if job is not None else None
+                self._crash_checker.note_loss(
+                    plan.fingerprints, upstream, first_event_ms, now
+                )
                 result = f"lost ({reason})"
             case TimedOut():
                 failed = True
@@ -453,33 +453,6 @@
             )
         plan.trace.attempts.append(f"{name}: {result}")
 
-    def _note_loss(
-        self, plan: Plan, upstream: Upstream, job: Job | None, now: Instant
-    ) -> None:
-        """Record a lost request, and find out whether its upstream has crashed."""
-        first_event_ms = job.first_event_ms if job is not None else None
-        self._crash_tracker.note_loss(
-            plan.fingerprints,
-            upstream.entry.upstream,
-            upstream.incarnation,
-            first_event_ms,
-            now,
-        )
-        if upstream not in self._crash_checks:
-            check = asyncio.create_task(self._check_crash(upstream))
-            self._crash_checks[upstream] = check
-            check.add_done_callback(lambda _: self._crash_checks.pop(upstream, None))
-
-    async def _check_crash(self, upstream: Upstream) -> None:
-        await asyncio.sleep(CRASH_CHECK_DELAY_S)
-        now = self._clock.now()
-        if await upstream.pool.check_refused(now.mono_ms / 1000):
-            now = self._clock.now()
-            self._fleet.record_unreachable(upstream, now)
-            self._crash_tracker.note_crash(
-                upstream.entry.upstream, upstream.incarnation, now
-            )
-
     def _report_failure(
         self,
         plan: Plan,
