--- a/libs/gateway/src/waxwingbarrow/gateway/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_ports.py
@@ -140,14 +140,10 @@
 
     Attributes
     ----------
-    OPERATOR
-        Configuration and rollout orders.
-    UPSTREAMS
-        Registrations of upstreams.
-    STATUS
-        States of rollouts.
-    HOSTS
-        Registrations of hosts.
+    OPERATOR, STATUS
+        Configuration and rollout orders; states of rollouts.
+    UPSTREAMS, HOSTS
+        Registrations of upstreams and of hosts.
     CRASHES
         Prompt parts that crash upstreams.
     USAGE
