Close connections that tests and the HTTP session left open

Ten tests failed on Python 3.11.6, whose StreamWriter closes itself when it is collected, even after its event loop was closed; the failure hit whatever test ran then.

A list of the writers that were open when their loop closed, with the place where each was made, named three sources: handlers of asyncio.start_server that were cancelled before their close (test_engine, test_http), sessions that tests did not close (test_control, test_claim_executor), and HttpSession(keep_alive=False). That one is a fault of the product: aiosonic keeps a connection open after a response although its limit of requests rules out a reuse, so each call to a service left a connection open until its pool slot was used again. The daemon also closed none of its sessions at its end.

Ruled out: the gateway, the adapter of the platform, the command line, the peers and the stand-ins left no writer open.

The filter and all checks are unchanged.

--- a/libs/daemon/src/waxwingbarrow/daemon/_host.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_host.py
@@ -98,6 +98,7 @@
             await self._leave_peers()
             for task in tasks:
                 task.cancel()
+        await self._close_connections()
         self._lifecycle.stop()
         logger.info("Stopped.")
 
@@ -196,12 +197,13 @@
             connect_timeout_ms=settings.connect_timeout_ms,
             max_connections=settings.max_concurrent_requests,
         )
+        self._engine_session = HttpSession(
+            caller=settings.host_id,
+            connect_timeout_ms=settings.connect_timeout_ms,
+            max_connections=settings.max_concurrent_requests,
+        )
         self._engines = EngineClient(
-            HttpSession(
-                caller=settings.host_id,
-                connect_timeout_ms=settings.connect_timeout_ms,
-                max_connections=settings.max_concurrent_requests,
-            ),
+            self._engine_session,
             StreamTimeouts(
                 first_byte_ms=settings.first_event_timeout_ms,
                 between_events_ms=settings.event_gap_timeout_ms,
@@ -379,6 +381,10 @@
         self._peers.stop()
         await asyncio.sleep(0.2)  # lets the gossip about the departure reach the peers
 
+    async def _close_connections(self) -> None:
+        for connections in (self._session, self._services, self._engine_session):
+            await connections.close()
+
     def _is_model_service(self, service: ServiceName) -> bool:
         found = self._control.find(service)
         return found is not None and found.document.kind is ServiceKind.MODEL
--- a/libs/daemon/tests/test_claim_executor.py
+++ b/libs/daemon/tests/test_claim_executor.py
@@ -45,10 +45,10 @@
     )
 
 
-def make_claim_executor(address):
+def make_claim_executor(session, address):
     return ClaimExecutor(
         Writer("h1", Incarnation(1, 1)),
-        HttpLogClient(HttpSession(), address, 500),
+        HttpLogClient(session, address, 500),
         CLOCK,
         random.Random(1),
         ClaimPolicy(),
@@ -62,13 +62,15 @@
     async def run_with_platform():
         platform = PlatformStandin()
         async with serve(platform.make_app()) as address:
-            claim_executor = make_claim_executor(address)
+            session = HttpSession()
+            claim_executor = make_claim_executor(session, address)
             running = asyncio.create_task(claim_executor.run())
             try:
                 await scenario(claim_executor, platform)
             finally:
                 running.cancel()
                 await asyncio.gather(running, return_exceptions=True)
+                await session.close()
 
     asyncio.run(run_with_platform())
 
--- a/libs/daemon/tests/test_control.py
+++ b/libs/daemon/tests/test_control.py
@@ -57,9 +57,12 @@
     platform: PlatformStandin
     address: str
     tasks: list[asyncio.Task]
+    sessions: list[HttpSession]
 
     def start_plane(self, host):
-        client = HttpLogClient(HttpSession(caller=host), self.address, 500)
+        session = HttpSession(caller=host)
+        self.sessions.append(session)
+        client = HttpLogClient(session, self.address, 500)
         plane = ControlPlane(
             Writer(host, Incarnation(1, 1)),
             client,
@@ -109,13 +112,15 @@
 async def make_harness():
     platform = PlatformStandin()
     async with serve(platform.make_app()) as address:
-        harness = ControlHarness(platform, address, [])
+        harness = ControlHarness(platform, address, [], [])
         try:
             yield harness
         finally:
             for task in harness.tasks:
                 task.cancel()
             await asyncio.gather(*harness.tasks, return_exceptions=True)
+            for session in harness.sessions:
+                await session.close()
 
 
 def run(scenario):
--- a/libs/platform/src/waxwingbarrow/platform/_http.py
+++ b/libs/platform/src/waxwingbarrow/platform/_http.py
@@ -115,6 +115,11 @@
             self.keep = False
         await super().__aexit__(exc_type, exc, tb)
 
+    def keep_alive(self) -> None:
+        # aiosonic keeps a connection open that its request limit never lets it reuse.
+        if self.pool.conf.max_conn_requests != 0:
+            super().keep_alive()
+
     async def connect(self, *args: Any, **named: Any) -> None:
         async with asyncio.timeout(self.pool.timeouts.sock_connect):
             await super().connect(*args, **named)
--- a/libs/platform/tests/test_http.py
+++ b/libs/platform/tests/test_http.py
@@ -83,6 +83,31 @@
     await session.close()
 
 
+async def test_connection_that_is_not_reused_is_closed_after_the_response():
+    """Guards against connections that stay open to a server for nothing."""
+    session = HttpSession(keep_alive=False)
+    has_ended = asyncio.Event()
+
+    async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        try:
+            await reader.readuntil(b"{}")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+            assert await reader.read() == b""
+            has_ended.set()
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    answer = await session.request(
+        "POST", f"http://127.0.0.1:{port}/", payload={}, timeout_ms=300
+    )
+    assert answer.unwrap().status == 200
+    await asyncio.wait_for(has_ended.wait(), 1)
+    await session.close()
+    server.close()
+
+
 BROKEN_RESPONSES = {
     "closed after reading": b"",
     "cut status line": b"HTTP/1.1 20",
@@ -103,12 +128,14 @@
     async def send_broken_response(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ):
-        await reader.read(1)
-        writer.write(BROKEN_RESPONSES[name])
-        await asyncio.sleep(0.02)
-        if abort:
-            writer.transport.abort()
-        writer.close()
+        try:
+            await reader.read(1)
+            writer.write(BROKEN_RESPONSES[name])
+            await asyncio.sleep(0.02)
+            if abort:
+                writer.transport.abort()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(send_broken_response, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
--- a/libs/upstreams/tests/test_engine.py
+++ b/libs/upstreams/tests/test_engine.py
@@ -158,8 +158,10 @@
 
 async def test_silent_engine_gives_maybe_sent():
     async def stay_silent(reader, writer):
-        await reader.read()
-        writer.close()
+        try:
+            await reader.read()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -185,12 +187,14 @@
 @pytest.mark.parametrize("name", MALFORMED)
 async def test_malformed_event_ends_the_stream_as_broken(name: str):
     async def send(reader, writer):
-        await reader.readuntil(b"}")
-        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-        body = MALFORMED[name]
-        writer.write(head + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n")
-        await writer.drain()
-        writer.close()
+        try:
+            await reader.readuntil(b"}")
+            head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            body = MALFORMED[name]
+            writer.write(head + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n")
+            await writer.drain()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(send, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
