Do not take a failed response for proof that a request is sound

The same class of fault remained in one place: any complete response, also one of 500, cleared the suspicion of a whole request.

Ruled out: prompt parts, which only success clears. The new test failed before the change.

--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
@@ -187,13 +187,13 @@
     def note_completion(
         self, fingerprints: Fingerprints, succeeded: bool, now: Instant
     ) -> None:
-        """Clear a request that completed: it did not cause its earlier losses.
+        """Clear a request that succeeded: it did not cause its earlier losses.
 
-        Its parts are cleared only if it succeeded, as an upstream may reject a request
-        without beginning an answer.
+        An upstream may reject or fail a request without beginning an answer, so other
+        responses say nothing.
         """
-        self._requests.clear(fingerprints.request, now)
         if succeeded:
+            self._requests.clear(fingerprints.request, now)
             self._clear_parts(fingerprints, now)
 
     def _clear_parts(self, fingerprints: Fingerprints, now: Instant) -> None:
--- a/libs/gateway/tests/test_crash_tracker.py
+++ b/libs/gateway/tests/test_crash_tracker.py
@@ -67,6 +67,16 @@
         complete(tracker, PLAIN, 1_000)
         assert tracker.find_refusal(PLAIN, at(1_100)) is None
 
+    # Guards against BUDGET: a request that also got failures from other upstreams was
+    # taken for sound, and was sent on.
+    def test_a_failure_elsewhere_does_not_clear_a_request(self):
+        tracker = CrashTracker()
+        lose(tracker, "u1", 0, PLAIN)
+        complete(tracker, PLAIN, 300, succeeded=False)
+        lose(tracker, "u2", 600, PLAIN)
+        complete(tracker, PLAIN, 900, succeeded=False)
+        assert tracker.find_refusal(PLAIN, at(1_000)) is not None
+
     def test_crashes_counted_by_several_hosts_add_up(self):
         first, second = CrashTracker(), CrashTracker()
         lose(first, "u1", 0, PLAIN)
