Read and log what upstreams ask for in their responses

The adapter now decodes the limit on requests, the notice of a leave and the time without requests, and each change is logged. Nothing is decided by them yet: the choice of upstreams is as before.

--- a/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
@@ -48,6 +48,7 @@
 
     status: int
     body: bytes
+    metadata: ResponseMetadata
 
 
 @attrs.frozen
@@ -157,7 +158,7 @@
             body = await channel.read_body()
             release(upstream, channel, metadata, clock)
             channel = None
-            return NotRun(head.status, body)
+            return NotRun(head.status, body, metadata)
     except BrokenError as error:
         return ConnectionLost(str(error)) if error.sent else NotSent(str(error))
     except TimeoutError:
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -163,6 +163,7 @@
                 deadline,
                 self._clock,
             )
+            self._note_statements(upstream, outcome)
             if isinstance(outcome, ResponseStarted):
                 self._note_execution_start(plan)
                 outcome = await read_response(outcome, upstream, deadline, self._clock)
@@ -241,6 +242,7 @@
                 plan.deadline,
                 self._clock,
             )
+            self._note_statements(upstream, outcome)
             if isinstance(outcome, ResponseStarted):
                 if outcome.head.status == 200:
                     outcome = await self._forward_stream(
@@ -383,6 +385,23 @@
             memory_copy=moved.memory_copy if moved is not None else None,
         )
 
+    def _note_statements(
+        self,
+        upstream: Upstream,
+        outcome: ResponseReceived | ResponseStarted | AttemptFailure,
+    ) -> None:
+        """Record what the upstream states in the head of its response."""
+        match outcome:
+            case ResponseStarted(head=head, metadata=metadata):
+                status = head.status
+            case NotRun(status=status, metadata=metadata):
+                pass
+            case _:
+                return
+        self._fleet.notices.note_response(
+            upstream.process, status, metadata, self._clock.now()
+        )
+
     def _note_execution_start(self, plan: Plan) -> None:
         if plan.began:
             return
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -13,6 +13,7 @@
 )
 from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
+from waxwingbarrow.gateway._notices import UpstreamNotices
 from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.routing import (
     BacklogTracker,
@@ -53,6 +54,8 @@
         Prompt parts that the upstreams are expected to have cached.
     health : HealthRegistry
         Upstreams that are ejected after failures.
+    notices : UpstreamNotices
+        What upstreams ask of the hosts in their responses.
     sent_parts : list
         Upstream and prompt parts of the requests that this host sent, not yet shared
         with its peers.
@@ -70,6 +73,7 @@
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self.parts = PartIndex(int(DEFAULT_MEMORY_TOKENS * CACHE_MEMORY_SHARE))
         self.health = HealthRegistry(HEALTH_POLICY)
+        self.notices = UpstreamNotices()
         self.sent_parts: list[tuple[UpstreamId, tuple[PromptPart, ...]]] = []
         self._registrations_hash: int | None = None
         self._upstreams_by_service: dict[ServiceName, list[Upstream]] = {}
--- a/libs/gateway/src/waxwingbarrow/gateway/_model.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_model.py
@@ -391,9 +391,19 @@
         Whether the upstream closes the connection after the response.
     idle_timeout_s : float or None
         Time after which the upstream closes an idle connection, if it is stated.
+    request_limit_per_s : float or None
+        Requests per second that the upstream accepts from all hosts together, if it
+        limits them.
+    leaving : bool
+        Whether the upstream is about to end and takes no new requests.
+    retry_after_s : float or None
+        Time for which the upstream wants no requests from this host, if it is stated.
     """
 
     request_id: str | None
     not_run: bool
     closes: bool = False
     idle_timeout_s: float | None = None
+    request_limit_per_s: float | None = None
+    leaving: bool = False
+    retry_after_s: float | None = None
--- a/libs/gateway/src/waxwingbarrow/gateway/_upstreams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_upstreams.py
@@ -5,6 +5,7 @@
 from waxwingbarrow.core import AccountId, HostId, Incarnation, Instant
 from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._model import UpstreamEntry
+from waxwingbarrow.gateway._notices import UpstreamProcess
 
 # Weight of the newest request in the moving average of failures; about the last ten
 # requests count.
@@ -97,6 +98,11 @@
         """Identity of this incarnation, by the start time of its process."""
         return Incarnation(self.entry.process_started_ms, 0)
 
+    @property
+    def process(self) -> UpstreamProcess:
+        """Key of this incarnation in `UpstreamNotices`."""
+        return self.entry.upstream, self.entry.process_started_ms
+
     def measure_own(self) -> Load:
         """Return the load from this host."""
         return Load(
