Stop listening on all ports when the gateway stops

A gateway that was started again in one process could not bind its control port: test_a_restart_of_all_hosts_does_not_forget_such_a_part failed in 7 of 7 runs with 'address already in use' since hosts of a test share the ports for messages between hosts. The servers for probes, metrics and replicas, and the socket for messages, were left to the end of the process. Ruled out: another process at the port, as the address is that of the test run. After: the test passes (1 run).

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -539,6 +539,9 @@
         self._peer_protocol.send_last_counts(self._clock.now())
         for task in self._tasks:
             task.cancel()
+        for server, _ in self._internal_servers:
+            server.stop_listening()
+        self._peer_protocol.close()
         logger.info("gateway stopped", extra={"cut_requests": busy})
         if self._log_handler is not None:
             self._log_handler.flush_lines()
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -483,6 +483,11 @@
             self._ticks = 0
             self._send_to_holder(self._peer_sync.make_heartbeat(now))
 
+    def close(self) -> None:
+        """Send what is queued, then stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
     def _send(self, datagrams: list[bytes], address: str) -> None:
         if self._transport is not None:
             for datagram in datagrams:
