Keep to the limits on requests that upstreams name

Cause: no host read the limit, and nothing counted the requests to one upstream over all hosts.

One host now grants permits for all: the first of a full mesh, or the quota keeper, which adds the permit to its advice. Hosts share limits in their heartbeats and totals.

Ruled out: an even share of the limit for each host. At 195 hosts it is under one request in minutes, so the upstream would get nothing; it is used only while no keeper answers. Also ruled out: a keeper that starts with a full bucket, which grants the limit twice when it is replaced.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -116,9 +116,8 @@
     async def _serve_buffered(self, plan: Plan, responder: Responder) -> str:
         error_response: ResponseReceived | None = None
         while True:
-            now = self._clock.now()
-            chosen = self._planner.select_upstream(plan, now)
-            if isinstance(chosen, Refused) or plan.deadline.mono_ms <= now.mono_ms:
+            chosen = await self._select_upstream(plan)
+            if isinstance(chosen, Refused) or self._is_overdue(plan):
                 return self._end_without_upstream(
                     plan, chosen, error_response, responder
                 )
@@ -179,12 +178,11 @@
         error_response: ResponseReceived | None = None
         moved: Moved | None = None
         while True:
-            now = self._clock.now()
             if moved is not None:
                 upstream, cached_tokens = moved.upstream, plan.metadata.prompt_tokens
             else:
-                chosen = self._planner.select_upstream(plan, now)
-                if isinstance(chosen, Refused) or plan.deadline.mono_ms <= now.mono_ms:
+                chosen = await self._select_upstream(plan)
+                if isinstance(chosen, Refused) or self._is_overdue(plan):
                     return self._end_without_upstream(
                         plan, chosen, error_response, responder
                     )
@@ -343,6 +341,22 @@
 
     # Steps shared by buffered and streaming requests
 
+    async def _select_upstream(
+        self, plan: Plan
+    ) -> tuple[Upstream, Placement] | Refused:
+        """Choose an upstream that accepts the request; see `Planner.acquire_permit`."""
+        while True:
+            chosen = self._planner.select_upstream(plan, self._clock.now())
+            if isinstance(chosen, Refused):
+                return chosen
+            upstream, _ = chosen
+            is_permitted = await self._planner.acquire_permit(plan, upstream)
+            if is_permitted and not upstream.gone:
+                return chosen
+
+    def _is_overdue(self, plan: Plan) -> bool:
+        return plan.deadline.mono_ms <= self._clock.now().mono_ms
+
     def _start_job(
         self, plan: Plan, upstream: Upstream, cached_tokens: int, now: Instant
     ) -> PlannedJob:
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -249,6 +249,10 @@
             or (state is HealthState.PROBING and bool(upstream.jobs))
         )
 
+    def is_deferred(self, upstream: Upstream, now: Instant) -> bool:
+        """Return whether this host sends an upstream nothing at the moment."""
+        return self.notices.measure_deferral_ms(upstream.process, now) > 0
+
     def view(
         self,
         upstreams: Iterable[Upstream],
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -37,6 +37,7 @@
 from waxwingbarrow.gateway._moves import StreamMover
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._peers import PeerProtocol
+from waxwingbarrow.gateway._permits import Permits
 from waxwingbarrow.gateway._placements import AttemptReporter, PlacementAdviser
 from waxwingbarrow.gateway._planner import Planner
 from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic, describe_failure
@@ -148,12 +149,21 @@
             lambda request, address: self._peer_protocol.send_message(request, address),
             lambda query, key, now: self._placement_adviser.advise(query, key, now),
         )
+        self._permits = Permits(
+            self._fleet.notices,
+            clock,
+            lambda now: self._peer_protocol.list_permit_keepers(now),
+            lambda request, address: self._peer_protocol.send_message(request, address),
+            lambda now: self._peer_protocol.measure_reachable_share(now),
+            lambda now: self._peer_protocol.count_hosts(now),
+        )
         policy = PlacementPolicy(data_centre=data_centre)
         self._placement_adviser = PlacementAdviser(
             self._fleet,
             policy,
             self._rng,
             lambda service: self._planner.find_engine(service),
+            self._permits.keeper,
         )
         self._planner = Planner(
             codec,
@@ -166,6 +176,7 @@
             policy,
             self._rng,
             lambda now: self._change_applier.measure_upstreams_age_ms(now),
+            self._permits,
         )
         self._change_applier = ChangeApplier(
             codec,
@@ -250,6 +261,7 @@
             self._fleet,
             self._fetcher,
             self._quota_admission,
+            self._permits,
             split_address(settings.control_address)[1],
             clock,
             self._rng,
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -5,11 +5,13 @@
 import msgspec
 from result import Err, Ok, Result
 
+from waxwingbarrow.core import UpstreamId
 from waxwingbarrow.gateway._crash_tracker import PartLosses
+from waxwingbarrow.gateway._notices import NoticeReport, UpstreamProcess
 from waxwingbarrow.gateway._ports import Unreadable
 
 # Version of the message format; messages of another version are ignored.
-MESSAGE_FORMAT = 5
+MESSAGE_FORMAT = 6
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag="beat"):
@@ -62,6 +64,8 @@
         Service and identifier of prompt parts, and for each its depth in the prompts,
         the time in ms since the last change, the upstreams that crashed under it and
         those of them that it did not crash, with their start times.
+    notices : list
+        What upstreams ask of the hosts; see `NoticeReport`.
     """
 
     format: int
@@ -85,6 +89,7 @@
     is_for_holder: bool = False
     operator_age_ms: int | None = None
     part_losses: list[PartLosses] = []
+    notices: list[NoticeReport] = []
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -139,6 +144,7 @@
     operator_age_ms: int | None = None
     deputies: list[str] = []
     part_losses: list[PartLosses] = []
+    notices: list[NoticeReport] = []
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
@@ -188,6 +194,8 @@
         Requests that run at the upstream.
     candidates : int
         Number of upstreams that could be used.
+    is_permitted : bool
+        Whether a permit was taken, if the upstream limits its requests.
     """
 
     upstream: str
@@ -195,6 +203,7 @@
     cached_tokens: int
     running: int
     candidates: int
+    is_permitted: bool = False
 
 
 class AttemptOutcome(enum.IntEnum):
@@ -293,13 +302,64 @@
     placement: PlacementAdvice | None = None
 
 
-Message = Heartbeat | RelaySummary | QuotaRequest | QuotaReply | AttemptReport
+class PermitRequest(msgspec.Struct, array_like=True, frozen=True, tag="permit"):
+    """Request for a permit to send one request to an upstream that limits them.
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
-    Heartbeat | RelaySummary | QuotaRequest | QuotaReply | AttemptReport
+    Hosts send it as an array, so the order of the fields is part of the format.
+
+    Parameters
+    ----------
+    number : int
+        Identifies the request at the sender.
+    notice : tuple
+        What the sender knows of the upstream's limit.
+    """
+
+    format: int
+    number: int
+    notice: NoticeReport
+
+    @property
+    def process(self) -> UpstreamProcess:
+        """The upstream's process."""
+        return UpstreamId(self.notice[0]), self.notice[1]
+
+
+class PermitReply(msgspec.Struct, array_like=True, frozen=True, tag="permitted"):
+    """Answer to a `PermitRequest`.
+
+    Hosts send it as an array, so the order of the fields is part of the format.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request.
+    is_keeper : bool
+        Whether the sender decides for all hosts; otherwise nothing was granted.
+    wait_ms : int
+        Time until a permit will be available, if none was granted.
+    """
+
+    format: int
+    number: int
+    is_keeper: bool
+    granted: bool
+    wait_ms: int = 0
+
+
+Message = (
+    Heartbeat
+    | RelaySummary
+    | QuotaRequest
+    | QuotaReply
+    | AttemptReport
+    | PermitRequest
+    | PermitReply
 )
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
 
 def encode_message(message: Message) -> bytes:
     """Serialize a message."""
--- a/libs/gateway/src/waxwingbarrow/gateway/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_notices.py
@@ -90,20 +90,17 @@
         if metadata.leaving:
             self._set_leaving(process, now)
         if metadata.retry_after_s is not None and status in OVERLOAD_STATUSES:
-            deferral_ms = round(metadata.retry_after_s * 1000)
-            self.defer(process, deferral_ms, now)
             logger.info(
                 "upstream wants no requests for a while",
-                extra={"upstream": process[0], "status": status, "for_ms": deferral_ms},
+                extra={
+                    "upstream": process[0],
+                    "status": status,
+                    "for_ms": round(metadata.retry_after_s * 1000),
+                },
             )
 
     def _find_or_add(self, process: UpstreamProcess, now: Instant) -> _Notice:
         if process not in self._notices:
-            self._notices = {
-                known: notice
-                for known, notice in self._notices.items()
-                if now.mono_ms - notice.last_ms < RETENTION_MS
-            }
             self._notices[process] = _Notice(changed_ms=now.mono_ms)
         return self._notices[process]
 
@@ -160,17 +157,24 @@
         notice = self._notices.get(process)
         return notice is not None and notice.leaving
 
+    def make_report(self, process: UpstreamProcess, now: Instant) -> NoticeReport:
+        """Return what peers are told of an upstream that has stated something."""
+        upstream, started_ms = process
+        notice = self._notices[process]
+        limit_per_s = NO_LIMIT if notice.limit_per_s is None else notice.limit_per_s
+        age_ms = now.mono_ms - (notice.limit_ms or notice.changed_ms)
+        return str(upstream), started_ms, limit_per_s, notice.leaving, age_ms
+
     def list_reports(self, now: Instant) -> list[NoticeReport]:
         """Return what peers are told: limits, their ends, and who leaves."""
+        self._notices = {
+            process: notice
+            for process, notice in self._notices.items()
+            if now.mono_ms - notice.last_ms < RETENTION_MS
+        }
         reports = [
-            (
-                str(upstream),
-                started_ms,
-                NO_LIMIT if notice.limit_per_s is None else notice.limit_per_s,
-                notice.leaving,
-                now.mono_ms - (notice.limit_ms or notice.changed_ms),
-            )
-            for (upstream, started_ms), notice in self._notices.items()
+            self.make_report(process, now)
+            for process, notice in self._notices.items()
             if notice.limit_per_s is not None
             or now.mono_ms - notice.changed_ms < SHARING_MS
         ]
--- a/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
@@ -146,6 +146,7 @@
             self.find_eligibility(),
             operator_age_ms=self.measure_operator_age_ms(now),
             part_losses=self._crash_tracker.list_shared_parts(now),
+            notices=self._fleet.notices.list_reports(now),
         )
 
     def apply_heartbeat(
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -19,6 +19,8 @@
     AttemptReport,
     Heartbeat,
     Message,
+    PermitReply,
+    PermitRequest,
     QuotaReply,
     QuotaRequest,
     RelaySummary,
@@ -27,6 +29,7 @@
 )
 from waxwingbarrow.gateway._operator_coverage import OperatorCoverage
 from waxwingbarrow.gateway._peer_sync import PeerSync
+from waxwingbarrow.gateway._permits import Permits
 from waxwingbarrow.gateway._ports import Topic, Unreadable
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._relay_directory import RelayDirectory
@@ -68,6 +71,8 @@
 # A relay that was not heard for two exchanges no longer precedes another as deputy.
 DEPUTY_HEARD_MS = 1_250
 MAX_DEPUTIES = 2
+# Hosts that are asked for a permit at the most.
+MAX_PERMIT_KEEPERS = 2
 # The relay is chosen among the hosts that the newest total lists, unless that total is
 # older than this.
 MEMBER_LIST_MAX_AGE_MS = 10_000
@@ -89,6 +94,8 @@
         TCP port from which replicas are fetched; the same on all hosts.
     call_later : callable
         Calls a function after a delay in seconds.
+    permits : Permits
+        Answers the requests of other hosts for permits, and gets their answers.
     note_attempt : callable
         Called with the report of a host about an attempt, and the host's address.
     """
@@ -101,6 +108,7 @@
         fleet: Fleet,
         fetcher: ReplicaFetcher,
         quota_admission: QuotaAdmission,
+        permits: Permits,
         control_port: int,
         clock: Clock,
         rng: random.Random,
@@ -113,6 +121,7 @@
         self._fleet = fleet
         self._fetcher = fetcher
         self._quota_admission = quota_admission
+        self._permits = permits
         self._control_port = control_port
         self._peer_port = own.address[1]
         self._clock = clock
@@ -171,6 +180,13 @@
                 self._quota_admission.handle_quota_reply(reply)
             case AttemptReport() as report:
                 self._note_attempt(report, addr[0], now)
+            case PermitRequest() as permit_request:
+                permit = self._permits.answer(
+                    permit_request, self.is_permit_keeper(now), now
+                )
+                self.send_message(permit, addr[0])
+            case PermitReply() as permit:
+                self._permits.handle_reply(permit)
 
     def error_received(self, exc: Exception) -> None:
         logger.debug("message to a peer was not delivered", extra={"error": repr(exc)})
@@ -312,6 +328,50 @@
             if address != own or is_keeper
         ]
 
+    def list_permit_keepers(self, now: Instant) -> list[str]:
+        """Return the addresses of the hosts to ask for permits, the best one first.
+
+        This host is "".
+        """
+        if not self.is_full_mesh(now):
+            return self.list_keepers(now)[:MAX_PERMIT_KEEPERS]
+        addresses = {
+            member.host: member.address[0] for member in self._members.list_present(now)
+        }
+        addresses[self._own.host] = ""
+        ranked = rank_relays(addresses, self._directory.find_relay_mbps)
+        is_keeper = self.is_permit_keeper(now)
+        return [
+            addresses[host]
+            for host in ranked[:MAX_PERMIT_KEEPERS]
+            if addresses[host] or is_keeper
+        ]
+
+    def is_permit_keeper(self, now: Instant) -> bool:
+        """Return whether this host grants permits when it is asked.
+
+        In a full mesh the first of the hosts that were heard just now does.
+        """
+        if not self.is_full_mesh(now):
+            return self.is_keeper(now)
+        heard = [
+            member.host
+            for member in self._members.list_present(now)
+            if now.mono_ms - (member.last_heard_ms or 0) < DEPUTY_HEARD_MS
+        ]
+        ranked = rank_relays([self._own.host, *heard], self._directory.find_relay_mbps)
+        return ranked[0] == self._own.host
+
+    def measure_reachable_share(self, now: Instant) -> float:
+        """Return the fraction of the hosts that share limits and are heard now."""
+        if self.is_full_mesh(now):
+            heard = 1 + len(self._members.list_present(now))
+            return min(heard / self._members.count_hosts(now), 1.0)
+        if self._last_total is None:
+            return 1 / self._members.count_known()
+        most = max((hosts for _, hosts in self._host_counts), default=1)
+        return min(self._last_total[0].host_count / max(most, 1), 1.0)
+
     def is_keeper(self, now: Instant) -> bool:
         """Return whether this host decides on quotas when it is asked.
 
@@ -420,6 +480,8 @@
             self._peer_sync.find_eligibility(),
             self._peer_sync.measure_operator_age_ms(now),
         )
+        notices = self._fleet.notices.list_reports(now)
+        own = msgspec.structs.replace(own, notices=notices)
         self._unsent_parts = (self._unsent_parts + own.parts)[-MAX_SUMMARY_PROMPTS:]
         # The other hosts wait for the duties as long as they know of a holder.
         is_holder_changed = own.holder != self._sent_holder
@@ -433,6 +495,7 @@
             total,
             members=known_hosts,
             replacement=replacement,
+            notices=notices,
             deputies=self._list_deputies(now)[:MAX_DEPUTIES],
         )
         self._apply_total(total, now)
@@ -502,6 +565,7 @@
         self, heartbeat: Heartbeat, address: str, now: Instant
     ) -> None:
         sender_address = (address, self._peer_port)
+        self._fleet.notices.update_from_peer(heartbeat.notices, now)
         if self.is_full_mesh(now):
             member = self._peer_sync.apply_heartbeat(heartbeat, sender_address, now)
             if member is not None:
@@ -528,6 +592,7 @@
     def _handle_summary(
         self, summary: RelaySummary, address: str, now: Instant
     ) -> None:
+        self._fleet.notices.update_from_peer(summary.notices, now)
         if summary.is_total:
             if summary.data_centre != self._own.data_centre:
                 return
--- a/libs/gateway/src/waxwingbarrow/gateway/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_placements.py
@@ -24,6 +24,7 @@
     PlacementQuery,
 )
 from waxwingbarrow.gateway._model import Engine
+from waxwingbarrow.gateway._permit_keeper import PermitKeeper
 from waxwingbarrow.gateway._quota_admission import AdviceSource, RequestKey
 from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.routing import (
@@ -53,8 +54,10 @@
         policy: PlacementPolicy,
         rng: random.Random,
         find_engine: Callable[[ServiceName], Engine | None],
+        permit_keeper: PermitKeeper,
     ) -> None:
         self._fleet = fleet
+        self._permit_keeper = permit_keeper
         self._policy = policy
         self._rng = rng
         self._find_engine = find_engine
@@ -86,7 +89,12 @@
             query.excluded_versions,
             query.avoided_upstreams,
         )
-        views = self._fleet.view(allowed, parts, engine, now, self._backlog)
+        permitted = [
+            item
+            for item in allowed
+            if not self._permit_keeper.measure_wait_s(item.process, now)
+        ]
+        views = self._fleet.view(permitted, parts, engine, now, self._backlog)
         size = RequestSize(
             prompt_tokens=query.prompt_tokens, output_tokens=query.output_tokens
         )
@@ -96,7 +104,10 @@
             return None
         placement = chosen.ok_value
         view = placement.view
-        if placement.start_ms <= query.latest_start_ms:
+        is_placed = placement.start_ms <= query.latest_start_ms
+        if is_placed:
+            process = self._fleet.upstreams[view.upstream].process
+            self._permit_keeper.take(process, now)
             prefill_tokens = max(query.prompt_tokens - view.cached_tokens, 0)
             self._backlog.record(view.upstream, key, prefill_tokens, now)
             if len(self._backlog) > 2 * len(self._fleet.upstreams):
@@ -108,6 +119,7 @@
             view.cached_tokens,
             view.running,
             placement.candidates,
+            is_placed,
         )
 
     def note_attempt(self, report: AttemptReport, sender: str, now: Instant) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -7,11 +7,12 @@
 import xxhash
 from result import Err
 
-from waxwingbarrow.core import Instant, ServiceName
+from waxwingbarrow.core import Instant, ServiceName, UpstreamId
 from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import PlacementQuery
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Engine, Route
+from waxwingbarrow.gateway._permits import Permits
 from waxwingbarrow.gateway._plans import Plan, Refused, RequestTrace
 from waxwingbarrow.gateway._ports import Codec
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
@@ -67,6 +68,7 @@
         policy: PlacementPolicy,
         rng: random.Random,
         measure_upstreams_age_ms: Callable[[Instant], int | None],
+        permits: Permits,
     ) -> None:
         self._codec = codec
         self._fleet = fleet
@@ -78,6 +80,7 @@
         self._policy = policy
         self._rng = rng
         self._measure_upstreams_age_ms = measure_upstreams_age_ms
+        self._permits = permits
         self.table: RouteTable | None = None
         self.refuse_all = False
 
@@ -192,6 +195,7 @@
                 upstream.entry.upstream
                 for upstream in usable_upstreams
                 if self._fleet.is_suspect(upstream, now)
+                or self._fleet.is_deferred(upstream, now)
             ],
         )
 
@@ -227,9 +231,18 @@
         engine = self.find_engine(service)
         usable_upstreams = self._fleet.list_usable(service, None)
         rule = self._find_rule(plan, service, usable_upstreams)
-        eligible = self._fleet.list_allowed(
+        allowed = self._fleet.list_allowed(
             service, rule.only, rule.excluded, plan.tried_upstreams
         )
+        eligible = [
+            upstream
+            for upstream in allowed
+            if not self._fleet.is_deferred(upstream, now)
+        ]
+        if allowed and not eligible:
+            processes = [upstream.process for upstream in allowed]
+            return_s = self._permits.plan_return_s(service, processes, now)
+            return Refused(503, "upstreams accept no more requests", return_s)
         placement = self._follow_advice(plan, eligible, engine, now)
         work = RequestSize(
             prompt_tokens=metadata.prompt_tokens,
@@ -241,7 +254,8 @@
             if isinstance(chosen, Err):
                 return Refused(503, "no upstream", RETRY_AFTER_BUSY_S)
             placement = chosen.ok_value
-        if not plan.tried_upstreams:
+        if not plan.is_work_counted:
+            plan.is_work_counted = True
             work_ms = estimate_work_ms(metadata, placement.view.cached_tokens)
             self._work_meter.add(service, work_ms, now)
             if engine is not None and metadata.has_token_counts:
@@ -263,6 +277,16 @@
         trace.upstreams_age_ms = self._measure_upstreams_age_ms(now)
         return upstream, placement
 
+    async def acquire_permit(self, plan: Plan, upstream: Upstream) -> bool:
+        """Take a permit for the next attempt, if its upstream limits its requests.
+
+        Without one the upstream is not chosen again for a while.
+        """
+        permitted, plan.permitted_upstream = plan.permitted_upstream, None
+        if permitted == upstream.entry.upstream:
+            return True
+        return await self._permits.acquire(upstream.process)
+
     def _follow_advice(
         self,
         plan: Plan,
@@ -289,6 +313,8 @@
         if not advised:
             plan.advice_source = None
             return None
+        if advice.is_permitted:
+            plan.permitted_upstream = UpstreamId(advice.upstream)
         (view,) = self._fleet.view(advised, (), engine, now)
         return Placement(
             view=attrs.evolve(
@@ -316,10 +342,16 @@
             return None
         # The memory of a run can be used only with the weights of the same version.
         usable_upstreams = self._fleet.list_usable(entry.service, entry.version)
+        unlimited = [
+            upstream
+            for upstream in usable_upstreams
+            if self._fleet.notices.find_limit_per_s(upstream.process) is None
+            and not self._fleet.is_deferred(upstream, now)
+        ]
         needed = metadata.prompt_tokens + metadata.max_output_tokens
         views = [
             view
-            for view in self._fleet.view(usable_upstreams, (), engine, now)
+            for view in self._fleet.view(unlimited, (), engine, now)
             if view.running < view.slots
             and view.used_tokens + needed <= view.memory_tokens
         ]
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -72,6 +72,10 @@
         Where the quota keeper advised to send the first attempt.
     advice_source : AdviceSource or None
         Where the advice that the current attempt follows comes from, if it follows one.
+    permitted_upstream : UpstreamId or None
+        Upstream for which the quota keeper has taken a permit for the first attempt.
+    is_work_counted : bool
+        Whether its work was counted in the work of its service.
     began : bool
         Whether an upstream began to run it; otherwise its charge is refunded.
     may_have_run : bool
@@ -97,6 +101,8 @@
     charge: Charge = Charge.NOWHERE
     advice: PlacementAdvice | None = None
     advice_source: AdviceSource | None = None
+    permitted_upstream: UpstreamId | None = None
+    is_work_counted: bool = False
     began: bool = False
     may_have_run: bool = False
     delivered_attempts: int = 0
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -8,6 +8,7 @@
 from waxwingbarrow.gateway._members import Member, Members
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._peers import PeerProtocol
+from waxwingbarrow.gateway._permits import Permits
 from waxwingbarrow.gateway._ports import Topic
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
@@ -93,6 +94,10 @@
     def run_quarter(self):
         """Let every host send once, and deliver the messages."""
         self.clock.advance_ms(250)
+        self.send_heartbeats()
+
+    def send_heartbeats(self):
+        """Let every host send once now, and deliver the messages."""
         for host in self.hosts.values():
             if host.address not in self.down:
                 now = self.clock.now()
@@ -126,7 +131,8 @@
         self.usage = UsageCounter(5.0)
         self.work_meter = WorkMeter()
         self.crash_tracker = CrashTracker()
-        fleet, quotas = Fleet(), Quotas()
+        quotas = Quotas()
+        self.fleet = fleet = Fleet()
         self.replicas = {Topic.OPERATOR: Replica(), Topic.UPSTREAMS: Replica()}
         replicas = self.replicas
         self.peer_sync = PeerSync(
@@ -150,6 +156,14 @@
             lambda now: self.peers.list_keepers(now),
             lambda request, address: self.peers.send_message(request, address),
         )
+        self.permits = Permits(
+            fleet.notices,
+            network.clock,
+            lambda now: self.peers.list_permit_keepers(now),
+            lambda request, address: self.peers.send_message(request, address),
+            lambda now: self.peers.measure_reachable_share(now),
+            lambda now: self.peers.count_hosts(now),
+        )
         own = Member(host, (address, PORT), centre, 1, None, 0, self.relay_mbps)
         fetcher = ReplicaFetcher(
             replicas, network.clock, lambda pages: None, lambda topic, now: True
@@ -161,6 +175,7 @@
             fleet,
             fetcher,
             self.quota_admission,
+            self.permits,
             9000,
             network.clock,
             random.Random(name),
@@ -178,6 +193,13 @@
         self.fetch_count += 1
 
 
+def make_permits(fleet, clock):
+    """Return the permits of a host that is alone."""
+    return Permits(
+        fleet.notices, clock, lambda now: [""], None, lambda now: 1.0, lambda now: 1
+    )
+
+
 def list_candidates(network):
     now = network.clock.now()
     return [
--- a/libs/gateway/tests/test_advice.py
+++ b/libs/gateway/tests/test_advice.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from peer_network import make_permits
 
 from waxwingbarrow.core import (
     DataCentre,
@@ -101,6 +102,7 @@
             PlacementPolicy(data_centre=DataCentre("a")),
             random.Random(1),
             lambda now: None,
+            make_permits(self.fleet, self.clock),
         )
         service = Service(name=POOL, engine=ENGINE)
         self.planner.table = RouteTable(
--- a/libs/gateway/tests/test_change_applier.py
+++ b/libs/gateway/tests/test_change_applier.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from peer_network import make_permits
 from result import Ok
 
 from waxwingbarrow.core import (
@@ -71,6 +72,7 @@
             PlacementPolicy(data_centre=DataCentre("a")),
             random.Random(1),
             lambda now: None,
+            make_permits(self.fleet, self.clock),
         )
         self.change_applier = ChangeApplier(
             codec,
--- a/libs/gateway/tests/test_placement_load.py
+++ b/libs/gateway/tests/test_placement_load.py
@@ -21,6 +21,7 @@
 )
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
 from waxwingbarrow.gateway._peer_sync import ALL_OTHERS
+from waxwingbarrow.gateway._permit_keeper import PermitKeeper
 from waxwingbarrow.gateway._placements import PlacementAdviser
 from waxwingbarrow.gateway._upstreams import Load
 from waxwingbarrow.routing import (
@@ -125,6 +126,7 @@
         PlacementPolicy(data_centre=DataCentre("a")),
         random.Random(seed),
         lambda service: ENGINE if service == POOL else None,
+        PermitKeeper(fleet.notices, lambda now: 1.0),
     )
 
 
