Keep the version of the messages between hosts

The messages about limits only add fields with defaults and two kinds of messages, which hosts of the version before ignore (seen on two structs of these kinds: an added field is left out). With another version number hosts would not hear each other at all while a deployment is updated. Nothing else was ruled out or measured.

--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -11,7 +11,7 @@
 from waxwingbarrow.gateway._ports import Unreadable
 
 # Version of the message format; messages of another version are ignored.
-MESSAGE_FORMAT = 6
+MESSAGE_FORMAT = 5
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag="beat"):
