Let only later events continue a stream that has begun

Reported by operators of similar systems: a stream broke off, the next upstream answered with an error, and callers found its text in their stream, or a stream that looked complete. Statuses other than 200 could not do that here. A continuation with status 200 could: its body was passed on whatever its type, and an empty one ended the stream as complete; one that began anew repeated events. A continuation must now be an event stream and begin after the last event; otherwise the caller's connection is reset.

Ruled out: to check that numbers have no gap, as the platform only says that they rise. An event stream without any event still ends the stream, as the first upstream may have broken off after the last one.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -25,7 +25,7 @@
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
 from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._http_heads import get_reason_phrase
+from waxwingbarrow.gateway._http_heads import get_reason_phrase, is_event_stream
 from waxwingbarrow.gateway._messages import AttemptOutcome
 from waxwingbarrow.gateway._metrics import Metrics
 from waxwingbarrow.gateway._model import (
@@ -195,7 +195,7 @@
             match outcome:
                 case Moved():
                     moved = outcome
-                    splitter.discard_remainder()
+                    splitter.resume()
                     continue
                 case ResponseReceived(head):
                     if responder.ended:
@@ -211,7 +211,7 @@
                     pass
             if not self._reserve_retry(plan, outcome):
                 return self._end_failed(plan, outcome, error_response, responder)
-            splitter.discard_remainder()
+            splitter.resume()
 
     async def _attempt_stream(
         self,
@@ -273,10 +273,14 @@
         channel = response.channel
         is_complete = False
         try:
+            if responder.started and not is_event_stream(response.head):
+                return InvalidResponse("the stream goes on with something else")
             timeout_s = compute_timeout_s(plan.deadline, self._clock.now())
             async with asyncio.timeout(timeout_s):
                 while data := await channel.read_chunk():
                     events = splitter.feed(data)
+                    if not splitter.is_continuous:
+                        return InvalidResponse("events that were sent before")
                     if _has_too_many_events(plan, splitter):
                         return InvalidResponse("more events than output tokens")
                     if events:
--- a/libs/gateway/src/waxwingbarrow/gateway/_events.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_events.py
@@ -20,6 +20,8 @@
         Bytes after the last complete event.
     event_count : int
         Number of the complete events.
+    is_continuous : bool
+        Whether the numbers go on after those before `resume`, without a repetition.
 
     Examples
     --------
@@ -34,7 +36,10 @@
         self.last_id: int | None = None
         self.remainder = b""
         self.event_count = 0
+        self.is_continuous = True
         self._unnumbered_bytes = 0
+        # Number of the last event before the part that follows now begins.
+        self._resumed_after: int | None = None
 
     @property
     def is_oversized(self) -> bool:
@@ -53,6 +58,8 @@
             data = self.remainder + data
         end = self._find_end(data)
         events, self.remainder = data[:end], data[end:]
+        if self._resumed_after is not None and not self._check_first_id(events):
+            return b""
         numbered = _find_last_id(events)
         if numbered is None:
             self._unnumbered_bytes += end
@@ -80,10 +87,32 @@
             start = next_start
         return end
 
-    def discard_remainder(self) -> None:
-        """Discard the bytes of an incomplete event."""
+    def _check_first_id(self, events: bytes) -> bool:
+        """Check that the part after `resume` begins with a new event."""
+        assert self._resumed_after is not None
+        first_id = _find_first_id(events)
+        if first_id is not None:
+            self.is_continuous = first_id > self._resumed_after
+            self._resumed_after = None
+        return self.is_continuous
+
+    def resume(self) -> None:
+        """Discard the bytes of an incomplete event; another part of the stream follows.
+
+        The part must not begin with an event that was returned before.
+        """
         self.remainder = b""
         self._unnumbered_bytes = 0
+        self._resumed_after = self.last_id
+
+
+def _find_first_id(events: bytes) -> int | None:
+    """Return the number of the first numbered event."""
+    for line in events.split(b"\n"):
+        number = line.removeprefix(ID_PREFIX).strip()
+        if line.startswith(ID_PREFIX) and number.isdigit():
+            return int(number)
+    return None
 
 
 def _find_last_id(events: bytes) -> tuple[int, int] | None:
--- a/libs/gateway/src/waxwingbarrow/gateway/_http_heads.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_http_heads.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from waxwingbarrow.gateway._model import Headers
+from waxwingbarrow.gateway._model import Headers, ResponseHead
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -24,3 +24,12 @@
     lines = [b"HTTP/1.1 %d %b" % (status, reason or get_reason_phrase(status))]
     lines += [b"%b: %b" % header for header in headers]
     return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether the body of a response is a stream of server-sent events."""
+    return any(
+        name.lower() == b"content-type"
+        and value.split(b";")[0].strip().lower() == b"text/event-stream"
+        for name, value in head.headers
+    )
--- a/libs/gateway/tests/test_endless_responses.py
+++ b/libs/gateway/tests/test_endless_responses.py
@@ -248,7 +248,7 @@
     assert splitter.feed(event + b"x" * (MAX_EVENT_BYTES + 1)) == event
     assert splitter.last_id == 7
     assert splitter.is_oversized
-    splitter.discard_remainder()
+    splitter.resume()
     assert not splitter.is_oversized
 
 
