Do not take a response that ends within its head for complete

Reported by operators of similar systems: an upstream stopped in the middle of its head and closed, and callers got 200 with an empty body. A line without its end is now an error, for headers and chunk sizes.

Before: the new case 'cut after the length' fails. After: it passes.

--- a/libs/platform/src/waxwingbarrow/platform/_http.py
+++ b/libs/platform/src/waxwingbarrow/platform/_http.py
@@ -107,7 +107,8 @@
     asyncio keeps a transport open for writing after the end of input, so aiosonic's own
     check would send the next request on a connection that the server has closed.
     aiosonic also reuses a connection whose request was cancelled before the response,
-    so the next request would get that response.
+    so the next request would get that response. It takes the end of input for the end
+    of the headers, so truncated headers would look like a complete response.
     """
 
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
@@ -124,6 +125,13 @@
         async with asyncio.timeout(self.pool.timeouts.sock_connect):
             await super().connect(*args, **named)
 
+    async def readline(self) -> bytes:
+        line: bytes = await super().readline()
+        if not line.endswith(b"\n"):
+            self.keep = False
+            raise HttpParsingError("the answer ended within its headers or a chunk")
+        return line
+
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
         # asyncio offers no public way to see bytes that were received and not read. No
         # request waits for them, so they would be taken for the next one's response.
--- a/libs/platform/tests/test_http.py
+++ b/libs/platform/tests/test_http.py
@@ -138,6 +138,8 @@
     "closed after reading": b"",
     "cut status line": b"HTTP/1.1 20",
     "cut headers": b"HTTP/1.1 200 OK\r\ncontent-le",
+    # Guards against an empty answer that is taken for complete.
+    "cut after the length": b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n",
     "cut body": b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc",
     "cut chunk header": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
     "cut chunk": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
