Send nothing to upstreams that say that they leave

Upstreams that leave say so in all their responses (DRAIN), but only their registrations were read, which change later, or vanish without a notice. Upstreams that said so are no longer usable, on this host and on those that it tells; a new start of the upstream is.

Ruled out: to move their streams from then on. How long such an upstream goes on serving is known only from its registration, and a move that is too early costs more than a wait.

--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -214,6 +214,8 @@
             upstream
             for upstream in self._upstreams_by_service.get(service, ())
             if not upstream.entry.leaving
+            # Its responses say so before its registration does, or instead of it.
+            and not self.notices.is_leaving(upstream.process)
             and (version is None or upstream.entry.version == version)
         ]
 
--- a/libs/gateway/tests/test_advice.py
+++ b/libs/gateway/tests/test_advice.py
@@ -34,6 +34,7 @@
     CallMetadata,
     Configuration,
     Engine,
+    ResponseMetadata,
     Route,
     RouteKind,
     Service,
@@ -137,6 +138,12 @@
         return self.planner.select_upstream(plan, self.clock.now())
 
 
+def note_response(host, metadata, status=200):
+    """Let the first upstream answer this host."""
+    process = host.fleet.upstreams["u1"].process
+    host.fleet.notices.note_response(process, status, metadata, host.clock.now())
+
+
 @pytest.mark.parametrize("advised", ["u1", "u2"])
 def test_the_first_attempt_follows_the_advice(advised):
     host = Host(advised)
@@ -167,6 +174,15 @@
     assert not plan.trace.is_advised
 
 
+def test_an_upstream_that_said_that_it_leaves_is_not_used():
+    # Guards against DRAIN: the keeper may not have heard of it yet.
+    host = Host("u1")
+    note_response(host, ResponseMetadata(request_id="r", not_run=False, leaving=True))
+    plan = host.make_plan()
+    upstream, _ = host.select(plan)
+    assert upstream.entry.upstream == "u2"
+
+
 def test_an_upstream_that_this_host_ejected_is_not_used():
     host = Host("u1")
     host.fleet.record_unreachable(host.fleet.upstreams["u1"], host.clock.now())
--- a/libs/gateway/tests/test_permits.py
+++ b/libs/gateway/tests/test_permits.py
@@ -193,6 +193,19 @@
     assert notices.find_limit_per_s(PROCESS) == 1.0
 
 
+async def test_all_hosts_learn_that_an_upstream_leaves():
+    # Guards against DRAIN: a host that has not heard of it yet sends more requests.
+    for centres, per_centre in [(2, 3), (6, 33)]:
+        network = make_network(centres, per_centre)
+        first = next(iter(network.hosts.values()))
+        now = network.clock.now()
+        first.fleet.notices.note_response(PROCESS, 200, state(leaving=True), now)
+        network.run(8)
+        assert all(
+            host.fleet.notices.is_leaving(PROCESS) for host in network.hosts.values()
+        )
+
+
 class TestNotices:
     def test_a_limit_of_an_earlier_start_does_not_hold(self):
         notices = UpstreamNotices()
