Give upstreams the time without requests that they name

An upstream may name a time in a refusal during which it wants nothing from that host (BUDGET); hosts went on sending, and refused callers came back after 0.3 s whatever it named. A host now leaves the upstream out until then. If no upstream of the service is left, callers are refused at once with the time at which the first one accepts requests.

Ruled out: to tell other hosts, as the time binds only the host that was told; and to spread the return of callers, as nothing is known of what the upstream takes then.

--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -587,7 +587,8 @@
             return f"answered {error_response.head.status}"
         match outcome:
             case NotRun() | NotSent() if not plan.may_have_run:
-                refused = Refused(503, "not run by the upstream", RETRY_AFTER_BUSY_S)
+                return_s = self._planner.plan_return_s(plan, self._clock.now())
+                refused = Refused(503, "not run by the upstream", return_s)
             case TimedOut():
                 refused = Refused(504, "timeout")
             case _:
--- a/libs/gateway/src/waxwingbarrow/gateway/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_notices.py
@@ -90,13 +90,11 @@
         if metadata.leaving:
             self._set_leaving(process, now)
         if metadata.retry_after_s is not None and status in OVERLOAD_STATUSES:
+            deferral_ms = round(metadata.retry_after_s * 1000)
+            self.defer(process, deferral_ms, now)
             logger.info(
                 "upstream wants no requests for a while",
-                extra={
-                    "upstream": process[0],
-                    "status": status,
-                    "for_ms": round(metadata.retry_after_s * 1000),
-                },
+                extra={"upstream": process[0], "status": status, "for_ms": deferral_ms},
             )
 
     def _find_or_add(self, process: UpstreamProcess, now: Instant) -> _Notice:
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -18,7 +18,13 @@
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._rollouts import Rollouts, VersionRule
-from waxwingbarrow.gateway._routes import NoAccount, NoRoute, RouteMatch, RouteTable
+from waxwingbarrow.gateway._routes import (
+    NoAccount,
+    NoRoute,
+    RouteMatch,
+    RouteTable,
+    pick_service,
+)
 from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.gateway._work_meter import WorkMeter, estimate_work_ms
 from waxwingbarrow.routing import (
@@ -240,8 +246,7 @@
             if not self._fleet.is_deferred(upstream, now)
         ]
         if allowed and not eligible:
-            processes = [upstream.process for upstream in allowed]
-            return_s = self._permits.plan_return_s(service, processes, now)
+            return_s = self.plan_return_s(plan, now)
             return Refused(503, "upstreams accept no more requests", return_s)
         placement = self._follow_advice(plan, eligible, engine, now)
         work = RequestSize(
@@ -252,7 +257,7 @@
             views = self._fleet.view(eligible, metadata.parts, engine, now)
             chosen = choose_worker(work, views, self._policy, self._rng)
             if isinstance(chosen, Err):
-                return Refused(503, "no upstream", RETRY_AFTER_BUSY_S)
+                return Refused(503, "no upstream", self.plan_return_s(plan, now))
             placement = chosen.ok_value
         if not plan.is_work_counted:
             plan.is_work_counted = True
@@ -277,6 +282,21 @@
         trace.upstreams_age_ms = self._measure_upstreams_age_ms(now)
         return upstream, placement
 
+    def plan_return_s(self, plan: Plan, now: Instant) -> float:
+        """Return when the caller of a request that did not run should come back.
+
+        That is when the first upstream of its service accepts requests again, those
+        included that this attempt has tried.
+        """
+        service = self.pick_service(plan)
+        usable_upstreams = self._fleet.list_usable(service, None)
+        if not usable_upstreams or not all(
+            self._fleet.is_deferred(upstream, now) for upstream in usable_upstreams
+        ):
+            return RETRY_AFTER_BUSY_S
+        processes = [upstream.process for upstream in usable_upstreams]
+        return self._permits.plan_return_s(service, processes, now)
+
     async def acquire_permit(self, plan: Plan, upstream: Upstream) -> bool:
         """Take a permit for the next attempt, if its upstream limits its requests.
 
@@ -366,23 +386,6 @@
         return pick_service(plan.route, plan.metadata.request_id)
 
 
-def pick_service(route: Route, request_id: str) -> ServiceName:
-    """Choose a service by the weights of the route's backends.
-
-    The request's ID decides, so all attempts of a request go to the same service.
-    """
-    backends = route.backends
-    if len(backends) == 1:
-        return backends[0].service
-    total = sum(backend.weight for backend in backends)
-    point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
-    for backend in backends:
-        point -= backend.weight
-        if point < 0:
-            return backend.service
-    return backends[-1].service
-
-
 def make_fingerprints(
     call: Call, account: str, service: ServiceName, metadata: CallMetadata
 ) -> Fingerprints:
--- a/libs/gateway/src/waxwingbarrow/gateway/_routes.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_routes.py
@@ -1,6 +1,7 @@
 """Lookup of the route and the account of a request."""
 
 import attrs
+import xxhash
 
 from waxwingbarrow.core import AccountId, ServiceName
 from waxwingbarrow.gateway._model import Account, Configuration, Route, Service
@@ -94,3 +95,20 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+
+def pick_service(route: Route, request_id: str) -> ServiceName:
+    """Choose a service by the weights of the route's backends.
+
+    The request's ID decides, so all attempts of a request go to the same service.
+    """
+    backends = route.backends
+    if len(backends) == 1:
+        return backends[0].service
+    total = sum(backend.weight for backend in backends)
+    point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
+    for backend in backends:
+        point -= backend.weight
+        if point < 0:
+            return backend.service
+    return backends[-1].service
--- a/libs/gateway/tests/test_advice.py
+++ b/libs/gateway/tests/test_advice.py
@@ -183,6 +183,20 @@
     assert upstream.entry.upstream == "u2"
 
 
+def test_an_upstream_that_wants_no_requests_now_is_not_used():
+    # Guards against BUDGET: the keeper does not know what it told this host.
+    host = Host("u1")
+    refusal = ResponseMetadata(request_id="r", not_run=True, retry_after_s=2.0)
+    note_response(host, refusal, status=503)
+    plan = host.make_plan()
+    assert host.queries[0].avoided_upstreams == ["u1"]
+    upstream, _ = host.select(plan)
+    assert upstream.entry.upstream == "u2"
+    host.clock.advance_ms(2_000)
+    host.make_plan()
+    assert host.queries[1].avoided_upstreams == []
+
+
 def test_an_upstream_that_this_host_ejected_is_not_used():
     host = Host("u1")
     host.fleet.record_unreachable(host.fleet.upstreams["u1"], host.clock.now())
