Do not blame requests for upstreams that said that they leave

Sound requests could be refused for a minute: those lost at an upstream that ended after it had said in a response that it leaves counted as crashes, as only the registration was asked whether it leaves. It may be removed late, or name no leave at all.

Found by reading. Ruled out: the other decisions on requests that are lost, which ask the fleet, and that reads both since. The new case 'response' failed before the change.

--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_checker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_checker.py
@@ -43,7 +43,8 @@
             Monotonic time of the first event of its stream.
         """
         entry = upstream.entry
-        if entry.leaving or upstream.gone:
+        is_leaving = entry.leaving or self._fleet.notices.is_leaving(upstream.process)
+        if is_leaving or upstream.gone:
             return
         self._tracker.note_loss(
             fingerprints, entry.upstream, upstream.incarnation, first_event_ms, now
