Bound the time for which refused callers of limited upstreams are sent away

Callers that are refused one after the other are told to return one after the other, with no end: the thousandth one refused at once was told 499.5 s for an upstream with a limit of 2 a second, although the limit may end in the next response and others may have given up. The time is now 30 s at the most.

Found by reading. Ruled out: to forget the queue after a while, which would send all later callers back at the same moment as the first ones. The new test failed before.

--- a/libs/gateway/src/waxwingbarrow/gateway/_permits.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_permits.py
@@ -27,6 +27,9 @@
 KEEPER_RETRY_MS = 1_000
 # An upstream without a permit is not tried again for at least this long.
 MIN_DEFERRAL_MS = 50
+# Callers are not told to stay away longer because of those refused before them; a limit
+# may have ended by then.
+MAX_QUEUE_MS = 30_000
 
 
 class Permits:
@@ -164,6 +167,7 @@
             rate_per_s = sum(max(limit or 0.0, MIN_RATE_PER_S) for limit in limits)
             interval_ms = 1000 * self._count_hosts(now) / rate_per_s
             last_ms = self._last_return_ms.get(service, 0.0)
-            return_ms = max(return_ms, last_ms + interval_ms)
+            queue_ms = min(last_ms + interval_ms, now.mono_ms + MAX_QUEUE_MS)
+            return_ms = max(return_ms, queue_ms)
             self._last_return_ms[service] = return_ms
         return (return_ms - now.mono_ms) / 1000
--- a/libs/gateway/tests/test_permits.py
+++ b/libs/gateway/tests/test_permits.py
@@ -12,9 +12,10 @@
 
 import attrs
 import pytest
-from peer_network import Network, make_holder
+from peer_network import Network, make_holder, make_permits
 
-from waxwingbarrow.core import Instant, UpstreamId
+from waxwingbarrow.core import Instant, ManualClock, ServiceName, UpstreamId
+from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._model import ResponseMetadata
 from waxwingbarrow.gateway._notices import (
     REPORT_TOLERANCE_MS,
@@ -251,6 +252,23 @@
         assert len(notices.list_reports(later)) == 1
 
 
+class TestPermits:
+    def test_refused_callers_return_within_a_bounded_time(self):
+        # Guards against callers that are told to stay away for hours, because of many
+        # that were refused before them.
+        clock, fleet = ManualClock(), Fleet()
+        permits = make_permits(fleet, clock)
+        clock.advance_ms(60_000)
+        now = clock.now()
+        fleet.notices.note_response(PROCESS, 200, state(2.0), now)
+        returns_s = [
+            permits.plan_return_s(ServiceName("pool"), [PROCESS], now)
+            for _ in range(1_000)
+        ]
+        assert returns_s[:3] == pytest.approx([0.0, 0.5, 1.0])
+        assert max(returns_s) <= 30
+
+
 class TestKeeper:
     def test_an_upstream_that_names_0_is_still_asked_now_and_then(self):
         # Guards against a limit that nothing could end.
