End the wait for a permit when the limit changes or the keeper is back

Upstreams with a limit got less than they take. A host that gets no permit sends nothing until one may be available; that time held on when the upstream named no limit any more (10 s for a limit of 0.1 a second), and was computed from the host's even share while no keeper answered, which is minutes at hundreds of hosts. Now a change of the limit ends it, and without a keeper it lasts until one may be asked again.

Ruled out: to keep no such time, as each request would then wait for an answer of the keeper. The time that an upstream names itself is kept apart and holds as before.

--- a/libs/gateway/src/waxwingbarrow/gateway/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_notices.py
@@ -48,7 +48,9 @@
     leaving : bool
         Whether it is about to end.
     deferred_until_ms : int
-        Monotonic time until which this host sends it nothing.
+        Monotonic time until which it wants nothing from this host.
+    permit_at_ms : int
+        Monotonic time before which this host gets no permit for its limit.
     """
 
     limit_per_s: float | None = None
@@ -56,6 +58,7 @@
     changed_ms: int = 0
     leaving: bool = False
     deferred_until_ms: int = 0
+    permit_at_ms: int = 0
 
     @property
     def last_ms(self) -> int:
@@ -91,7 +94,7 @@
             self._set_leaving(process, now)
         if metadata.retry_after_s is not None and status in OVERLOAD_STATUSES:
             deferral_ms = round(metadata.retry_after_s * 1000)
-            self.defer(process, deferral_ms, now)
+            self._defer(process, deferral_ms, now)
             logger.info(
                 "upstream wants no requests for a while",
                 extra={"upstream": process[0], "status": status, "for_ms": deferral_ms},
@@ -112,6 +115,7 @@
         notice = self._find_or_add(process, now)
         if limit_per_s != notice.limit_per_s:
             notice.changed_ms = now.mono_ms
+            notice.permit_at_ms = 0
             logger.info(
                 "upstream limits its requests"
                 if limit_per_s is not None
@@ -131,16 +135,29 @@
             logger.info("upstream says that it leaves", extra={"upstream": process[0]})
         notice.leaving = True
 
-    def defer(self, process: UpstreamProcess, deferral_ms: int, now: Instant) -> None:
-        """Let this host send an upstream nothing for a time."""
+    def _defer(self, process: UpstreamProcess, deferral_ms: int, now: Instant) -> None:
         notice = self._find_or_add(process, now)
         until_ms = now.mono_ms + deferral_ms
         notice.deferred_until_ms = max(notice.deferred_until_ms, until_ms)
 
+    def record_permit_wait(
+        self, process: UpstreamProcess, wait_ms: int, now: Instant
+    ) -> None:
+        """Let this host send an upstream nothing until it may get a permit.
+
+        A change of the limit ends the wait.
+        """
+        notice = self._find_or_add(process, now)
+        if notice.limit_per_s is not None:
+            notice.permit_at_ms = now.mono_ms + wait_ms
+
     def measure_deferral_ms(self, process: UpstreamProcess, now: Instant) -> int:
         """Return the time for which this host sends an upstream nothing; 0 if none."""
         notice = self._notices.get(process)
-        return 0 if notice is None else max(notice.deferred_until_ms - now.mono_ms, 0)
+        if notice is None:
+            return 0
+        until_ms = max(notice.deferred_until_ms, notice.permit_at_ms)
+        return max(until_ms - now.mono_ms, 0)
 
     def find_limit_per_s(self, process: UpstreamProcess) -> float | None:
         """Return the requests per second that an upstream accepts from all hosts.
--- a/libs/gateway/src/waxwingbarrow/gateway/_permits.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_permits.py
@@ -26,7 +26,7 @@
 # A host that did not answer as the keeper is not asked again for this long.
 KEEPER_RETRY_MS = 1_000
 # An upstream without a permit is not tried again for at least this long.
-MIN_DEFERRAL_MS = 50
+MIN_WAIT_MS = 50
 # Callers are not told to stay away longer because of those refused before them; a limit
 # may have ended by then.
 MAX_QUEUE_MS = 30_000
@@ -82,7 +82,7 @@
             return True
         wait_ms = round(1000 * (taken.err_value.retry_after_s or 0.0))
         now = self._clock.now()
-        self._notices.defer(process, max(wait_ms, MIN_DEFERRAL_MS), now)
+        self._notices.record_permit_wait(process, max(wait_ms, MIN_WAIT_MS), now)
         return False
 
     async def _take(self, process: UpstreamProcess) -> Result[None, RateLimited]:
@@ -101,7 +101,18 @@
                 return Err(RateLimited(retry_after_s=reply.wait_ms / 1000))
             now = self._clock.now()
             self._avoided_until_ms[address] = now.mono_ms + KEEPER_RETRY_MS
-        return self._own_share.take(process, now)
+        return self._take_of_own_share(process, now)
+
+    def _take_of_own_share(
+        self, process: UpstreamProcess, now: Instant
+    ) -> Result[None, RateLimited]:
+        """Take a permit without a keeper; the wait ends when one may answer again."""
+        match self._own_share.take(process, now):
+            case Err(RateLimited(retry_after_s=wait_s)):
+                wait_s = min(wait_s or 0.0, KEEPER_RETRY_MS / 1000)
+                return Err(RateLimited(retry_after_s=wait_s))
+            case taken:
+                return taken
 
     async def _ask(self, process: UpstreamProcess, address: str) -> PermitReply | None:
         self._last_number += 1
--- a/libs/gateway/tests/test_permits.py
+++ b/libs/gateway/tests/test_permits.py
@@ -157,6 +157,30 @@
         assert len(upstream.arrivals) - before >= 0.5 * 2.0 * 8
 
 
+async def test_hosts_ask_the_keeper_again_soon_after_it_was_away():
+    # Guards against an upstream that gets nothing for minutes: an even share of its
+    # limit is one request in 75 s here.
+    for centres, per_centre in [(2, 3), (3, 25)]:
+        network = make_network(centres, per_centre)
+        upstream = LimitedUpstream(1.0)
+        rng = random.Random(6)
+        rate_per_s = 2 * len(network.hosts)
+        await run(network, upstream, 5, rng, rate_per_s)
+        relays = [
+            name
+            for name, host in network.hosts.items()
+            if host.peers.is_permit_keeper(network.clock.now())
+        ]
+        network.fail(*relays)
+        await run(network, upstream, 2, rng, rate_per_s)
+        network.down.clear()
+        await run(network, upstream, 3, rng, rate_per_s)
+        before = len(upstream.arrivals)
+        await run(network, upstream, 10, rng, rate_per_s)
+        assert len(upstream.arrivals) - before >= 0.8 * 10 - 1
+        assert upstream.count_most() <= upstream.allowed
+
+
 async def test_both_parts_of_a_partition_together_keep_to_a_limit():
     # Guards against two keepers that each grant the whole limit.
     network = make_network(2, 3)
@@ -253,6 +277,26 @@
 
 
 class TestPermits:
+    async def test_a_new_limit_ends_the_wait_for_a_permit_at_once(self):
+        # Guards against an upstream that has recovered and gets nothing for 10 s.
+        clock, fleet = ManualClock(), Fleet()
+        permits = make_permits(fleet, clock)
+        for limit_per_s in (None, 12.0):
+            fleet.notices.note_response(PROCESS, 200, state(0.1), clock.now())
+            assert not await permits.acquire(PROCESS)
+            assert fleet.notices.measure_deferral_ms(PROCESS, clock.now()) > 1_000
+            fleet.notices.note_response(PROCESS, 200, state(limit_per_s), clock.now())
+            assert fleet.notices.measure_deferral_ms(PROCESS, clock.now()) == 0
+
+    async def test_the_end_of_a_limit_leaves_the_time_that_an_upstream_named(self):
+        clock, fleet = ManualClock(), Fleet()
+        permits = make_permits(fleet, clock)
+        refusal = state(0.1, retry_after_s=5.0)
+        fleet.notices.note_response(PROCESS, 503, refusal, clock.now())
+        await permits.acquire(PROCESS)
+        fleet.notices.note_response(PROCESS, 200, state(), clock.now())
+        assert fleet.notices.measure_deferral_ms(PROCESS, clock.now()) == 5_000
+
     def test_refused_callers_return_within_a_bounded_time(self):
         # Guards against callers that are told to stay away for hours, because of many
         # that were refused before them.
