Grant half a limit where the keeper does not answer

Upstreams with a limit could get more than it allows while the keeper answered some hosts in time and others not, for example because it was slow: it granted the whole limit, and so did its deputy, or the even shares of the other hosts in a full mesh. These now grant half of it, so that together they stay within one and a half times the limit.

Ruled out: to let the deputy refuse while it hears the keeper, as hosts that the keeper does not answer would then send nothing.

After: both tests pass, and so does the loss of the keeper with its bound as it was.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -154,7 +154,7 @@
             clock,
             lambda now: self._peer_protocol.list_permit_keepers(now),
             lambda request, address: self._peer_protocol.send_message(request, address),
-            lambda now: self._peer_protocol.measure_reachable_share(now),
+            lambda now: self._peer_protocol.measure_permit_share(now),
             lambda now: self._peer_protocol.count_hosts(now),
         )
         policy = PlacementPolicy(data_centre=data_centre)
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -29,7 +29,7 @@
 )
 from waxwingbarrow.gateway._operator_coverage import OperatorCoverage
 from waxwingbarrow.gateway._peer_sync import PeerSync
-from waxwingbarrow.gateway._permits import Permits
+from waxwingbarrow.gateway._permits import STAND_IN_SHARE, Permits
 from waxwingbarrow.gateway._ports import Topic, Unreadable
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._relay_directory import RelayDirectory
@@ -362,15 +362,22 @@
         ranked = rank_relays([self._own.host, *heard], self._directory.find_relay_mbps)
         return ranked[0] == self._own.host
 
-    def measure_reachable_share(self, now: Instant) -> float:
-        """Return the fraction of the hosts that share limits and are heard now."""
+    def measure_permit_share(self, now: Instant) -> float:
+        """Return the fraction of the limits that this host may grant as the keeper.
+
+        That is the fraction of the hosts that are heard now, and less while this host
+        stands in for a holder that may still answer some of them.
+        """
         if self.is_full_mesh(now):
             heard = 1 + len(self._members.list_present(now))
             return min(heard / self._members.count_hosts(now), 1.0)
         if self._last_total is None:
             return 1 / self._members.count_known()
         most = max((hosts for _, hosts in self._host_counts), default=1)
-        return min(self._last_total[0].host_count / max(most, 1), 1.0)
+        share = min(self._last_total[0].host_count / max(most, 1), 1.0)
+        if self._find_other_holder(now) is not None:
+            share *= STAND_IN_SHARE
+        return share
 
     def is_keeper(self, now: Instant) -> bool:
         """Return whether this host decides on quotas when it is asked.
--- a/libs/gateway/src/waxwingbarrow/gateway/_permits.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_permits.py
@@ -27,6 +27,9 @@
 KEEPER_RETRY_MS = 1_000
 # An upstream without a permit is not tried again for at least this long.
 MIN_WAIT_MS = 50
+# Fraction of a limit that hosts get elsewhere while the keeper does not answer them. It
+# may still grant the whole limit to others.
+STAND_IN_SHARE = 0.5
 # Callers are not told to stay away longer because of those refused before them; a limit
 # may have ended by then.
 MAX_QUEUE_MS = 30_000
@@ -41,8 +44,8 @@
         Returns the addresses of the hosts to ask, the best one first; "" is this host.
     send : callable
         Sends a message to a host's address.
-    measure_reachable_share : callable
-        Returns the fraction of the hosts that this host hears, itself included.
+    measure_permit_share : callable
+        Returns the fraction of the limits that this host may grant as the keeper.
     count_hosts : callable
         Returns the number of hosts that share the limits.
     """
@@ -53,7 +56,7 @@
         clock: Clock,
         list_keepers: Callable[[Instant], list[str]],
         send: Callable[[PermitRequest, str], None],
-        measure_reachable_share: Callable[[Instant], float],
+        measure_permit_share: Callable[[Instant], float],
         count_hosts: Callable[[Instant], int],
     ) -> None:
         self._notices = notices
@@ -61,9 +64,11 @@
         self._list_keepers = list_keepers
         self._send = send
         self._count_hosts = count_hosts
-        self.keeper = PermitKeeper(notices, measure_reachable_share)
+        self.keeper = PermitKeeper(notices, measure_permit_share)
         # Used while no keeper answers.
-        self._own_share = PermitKeeper(notices, lambda now: 1 / count_hosts(now))
+        self._own_share = PermitKeeper(
+            notices, lambda now: STAND_IN_SHARE / count_hosts(now)
+        )
         self._last_number = 0
         self._answers: dict[int, asyncio.Future[PermitReply]] = {}
         self._avoided_until_ms: dict[str, int] = {}
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -161,7 +161,7 @@
             network.clock,
             lambda now: self.peers.list_permit_keepers(now),
             lambda request, address: self.peers.send_message(request, address),
-            lambda now: self.peers.measure_reachable_share(now),
+            lambda now: self.peers.measure_permit_share(now),
             lambda now: self.peers.count_hosts(now),
         )
         own = Member(host, (address, PORT), centre, 1, None, 0, self.relay_mbps)
--- a/libs/gateway/tests/test_permits.py
+++ b/libs/gateway/tests/test_permits.py
@@ -157,6 +157,42 @@
         assert len(upstream.arrivals) - before >= 0.5 * 2.0 * 8
 
 
+async def test_a_keeper_and_its_deputy_together_keep_to_a_limit():
+    # Guards against a keeper that answers only some hosts in time, for example one that
+    # is slow, while its deputy grants the whole limit to the others.
+    network = make_network(3, 25)
+    upstream = LimitedUpstream(12.0)
+    rng = random.Random(7)
+    await run(network, upstream, 6, rng, rate_per_s=300)
+    now = network.clock.now()
+    some_host = network.hosts["h0-24"]
+    address = some_host.peers.list_permit_keepers(now)[0] or some_host.address
+    (keeper,) = [n for n, host in network.hosts.items() if host.address == address]
+    relays = {n for n, host in network.hosts.items() if host.peers._is_relay}
+    others = sorted(network.hosts.keys() - relays - {keeper})
+    for number, name in enumerate(others):
+        if number % 4:
+            network.cut(name, keeper)
+    await run(network, upstream, 12, rng, rate_per_s=300)
+    assert upstream.count_most() <= upstream.allowed
+
+
+async def test_a_keeper_and_the_shares_of_the_others_together_keep_to_a_limit():
+    # The same in a full mesh, where no deputy stands in.
+    network = make_network(2, 3)
+    upstream = LimitedUpstream(12.0)
+    rng = random.Random(8)
+    await run(network, upstream, 6, rng, rate_per_s=150)
+    (keeper,) = [
+        host
+        for host in network.hosts.values()
+        if host.peers.is_permit_keeper(network.clock.now())
+    ]
+    keeper.peers.send_message = lambda message, address: None
+    await run(network, upstream, 12, rng, rate_per_s=300)
+    assert upstream.count_most() <= upstream.allowed
+
+
 async def test_hosts_ask_the_keeper_again_soon_after_it_was_away():
     # Guards against an upstream that gets nothing for minutes: an even share of its
     # limit is one request in 75 s here.
