Tell of each suspected request once in the sums of relays

So sums repeat each request for each of 91 hosts; at 411,696 bytes they are too large and are not sent. Hosts then lose their relays, and what they know grows old. The class of fault: lists in sums that grow with the number of hosts. Prompt parts were merged, but without a bound.

Requests are now merged as well, and of both the 256 with the most crashes are told.

Ruled out: load of the machine. Larger messages would only move the bound.

--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
@@ -37,6 +37,10 @@
 # of at a time.
 SHARING_MS = 4_000
 MAX_SHARED_PARTS = 64
+# Suspected requests that peers are told of at a time, and prompt parts in the sums of
+# relays. Messages with all of a large deployment would exceed the size of a message.
+MAX_SHARED_REQUESTS = 256
+MAX_SUMMARY_PARTS = 256
 
 # Upstreams with the wall time in ms at which their processes started.
 Processes = list[tuple[str, int]]
@@ -255,11 +259,12 @@
         An upstream is given by its identifier and the wall time in ms at which its
         process started.
         """
-        return [
+        shared = [
             (known.fingerprint, _to_pairs(known.uncleared))
             for known in self._requests.list_suspicions(now)
             if known.uncleared
         ]
+        return _select_most_suspected(shared)
 
     def list_shared_parts(self, now: Instant) -> list[PartLosses]:
         """Return the parts that peers are told of.
@@ -325,9 +330,38 @@
             self._update_blocked(now)
 
 
+def merge_suspects(
+    lists: Iterable[list[tuple[str, Processes]]],
+) -> list[tuple[str, Processes]]:
+    """Join what several hosts report about requests, with each request once.
+
+    Examples
+    --------
+    >>> merge_suspects([[("f", [("i-1", 5)])], [("f", [("i-1", 5), ("i-2", 7)])]])
+    [('f', [('i-1', 5), ('i-2', 7)])]
+    """
+    lost_under: dict[str, set[tuple[str, int]]] = {}
+    for items in lists:
+        for name, lost in items:
+            lost_under.setdefault(name, set()).update(lost)
+    merged = [(name, sorted(lost)) for name, lost in lost_under.items()]
+    return _select_most_suspected(merged)
+
+
+def _select_most_suspected(
+    suspects: list[tuple[str, Processes]],
+) -> list[tuple[str, Processes]]:
+    """Return those under which most upstreams crashed, and of equal ones the last."""
+    newest_first = reversed(suspects)
+    ranked = sorted(newest_first, key=lambda item: len(item[1]), reverse=True)
+    return ranked[:MAX_SHARED_REQUESTS]
+
+
 def merge_part_losses(lists: Iterable[list[PartLosses]]) -> list[PartLosses]:
     """Join what several hosts report about prompt parts.
 
+    If there are too many, those with the most crashes and the newest are left.
+
     Examples
     --------
     >>> merge_part_losses([[("pool/1", 0, 40, [("i-1", 5)], [])],
@@ -344,9 +378,16 @@
             ages_ms[part] = min(age_ms, ages_ms.get(part, age_ms))
             lost_under.setdefault(part, set()).update(lost)
             cleared_of.setdefault(part, set()).update(cleared)
+    names = sorted(depths, key=lambda part: (-len(lost_under[part]), ages_ms[part]))
     return [
-        (part, depth, ages_ms[part], sorted(lost_under[part]), sorted(cleared_of[part]))
-        for part, depth in depths.items()
+        (
+            part,
+            depths[part],
+            ages_ms[part],
+            sorted(lost_under[part]),
+            sorted(cleared_of[part]),
+        )
+        for part in names[:MAX_SUMMARY_PARTS]
     ]
 
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -19,7 +19,7 @@
 import xxhash
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
-from waxwingbarrow.gateway._crash_tracker import merge_part_losses
+from waxwingbarrow.gateway._crash_tracker import merge_part_losses, merge_suspects
 from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
 from waxwingbarrow.gateway._ports import Topic
 
@@ -250,7 +250,7 @@
             _sum_rates(heartbeat.demands for heartbeat in heartbeats),
             _sum_rates(heartbeat.work for heartbeat in heartbeats),
             parts,
-            _concatenate(heartbeat.suspects for heartbeat in heartbeats),
+            merge_suspects(heartbeat.suspects for heartbeat in heartbeats),
             _concatenate(heartbeat.withdrawn for heartbeat in heartbeats),
             eligibility,
             operator_age_ms=operator_age_ms,
@@ -291,7 +291,7 @@
             _sum_rates(summary.demands for summary in summaries),
             _sum_rates(summary.work for summary in summaries),
             _concatenate(summary.parts for summary in summaries)[-MAX_SUMMARY_PROMPTS:],
-            _concatenate(summary.suspects for summary in summaries),
+            merge_suspects(summary.suspects for summary in summaries),
             _concatenate(summary.withdrawn for summary in summaries),
             operator_age_ms=self._find_operator_age_ms(own, now),
             part_losses=merge_part_losses(summary.part_losses for summary in summaries),
