--- a/review/2/play.py
+++ b/review/2/play.py
@@ -85,8 +85,8 @@
     lab.record.say(f"{len(cut)} were passed on to a worker and cut by the gateway")
     lab.record.say(f"  {short} of them of the clients with 8 digits in any case")
     for gateway in lab.gateways:
-        ends = len(gateway.own_ends)
-        lab.record.say(f"{gateway.name} ended by itself {ends} times")
+        ends = [status for status, _ in gateway.own_ends]
+        lab.record.say(f"{gateway.name} ended by itself with status {ends}")
         for error in sorted(set(gateway.list_log_errors())):
             lab.record.say(f"  its log: {error[:150]}")
     ended = [gateway for gateway in lab.gateways if len(gateway.own_ends) >= OWN_ENDS]
--- a/review/lab.py
+++ b/review/lab.py
@@ -472,6 +472,20 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    def measure_resident_mb(self):
+        """Return the private memory of the process in MiB; 0 if it does not run.
+
+        Files that it has mapped are left out.
+        """
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0
+        sizes = [line for line in status.splitlines() if line.startswith("RssAnon:")]
+        return int(sizes[0].split()[1]) // 1024 if sizes else 0
+
     def end(self):
         """Kill the process for good."""
         self._is_ending = True
