Read documents of any content without ending the gateway

Callers saw all gateways end, again after each restart, with their requests cut, while one entry of the list of upstreams was nested 3,000 deep.

Cause: the readers caught DecodeError and ValueError; msgspec raises RecursionError for such bytes, which ended the task that follows the upstreams, and with it the process.

One module decodes what others wrote, catches all that decoders raise and bounds the numbers. A record that cannot be applied does not hide the others of its change. Ruled out: a limit on the size of entries, as 6 KB suffice.

--- a/libs/gateway/src/waxwingbarrow/gateway/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/__init__.py
@@ -12,6 +12,18 @@
     ConnectError,
 )
 from waxwingbarrow.gateway._clock import BootClock
+from waxwingbarrow.gateway._decoding import (
+    DECODING_ERRORS,
+    MAX_PORT,
+    BoundedFloat,
+    BoundedInt,
+    decode_json,
+    decode_with,
+    describe_error,
+    is_header_value,
+    parse_address,
+    parse_decimal,
+)
 from waxwingbarrow.gateway._gateway import Gateway
 from waxwingbarrow.gateway._logs import configure_logs
 from waxwingbarrow.gateway._metrics import Metrics
@@ -66,9 +78,13 @@
 )
 
 __all__ = [
+    "DECODING_ERRORS",
+    "MAX_PORT",
     "Account",
     "Backend",
     "BootClock",
+    "BoundedFloat",
+    "BoundedInt",
     "BrokenError",
     "Call",
     "CallMetadata",
@@ -117,6 +133,12 @@
     "Unreadable",
     "UpstreamEntry",
     "configure_logs",
+    "decode_json",
+    "decode_with",
+    "describe_error",
+    "is_header_value",
+    "parse_address",
+    "parse_decimal",
     "read_settings",
     "split_address",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
@@ -1,17 +1,30 @@
 """Applies changes of the store's topics to the components of a gateway."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from waxwingbarrow.core import Clock, DataCentre, HostId, Instant, UpstreamId
+from waxwingbarrow.gateway._decoding import (
+    MAX_PORT,
+    BoundedInt,
+    decode_json,
+    is_ip_address,
+)
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._follower import StoreHealth
 from waxwingbarrow.gateway._members import Members
 from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._ports import Codec, KeyedPage, Topic
+from waxwingbarrow.gateway._ports import (
+    Codec,
+    KeyedPage,
+    KeyedRecord,
+    Topic,
+    Unreadable,
+)
 from waxwingbarrow.gateway._quotas import Quotas
 from waxwingbarrow.gateway._replica import Change, Replica
 from waxwingbarrow.gateway._rollouts import Rollouts
@@ -28,6 +41,37 @@
 UPSTREAMS_STALE_MS = 1_600
 
 
+class HostRegistration(msgspec.Struct, frozen=True):
+    """Registration of a host in the store.
+
+    Parameters
+    ----------
+    port : int
+        Port for messages between hosts.
+    started_ms : int
+        Wall time of the start of its process.
+    relay_mbps : int
+        Rate in Mbit/s at which it can relay; see `compute_relay_mbps`.
+    """
+
+    ip: str
+    port: BoundedInt
+    data_centre: str
+    started_ms: BoundedInt
+    relay_mbps: BoundedInt = msgspec.field(name="strength", default=0)
+
+
+def read_host(value: bytes) -> Result[HostRegistration, Unreadable]:
+    """Decode the registration of a host."""
+    decoded = decode_json(value, HostRegistration)
+    if isinstance(decoded, Err):
+        return decoded
+    host = decoded.ok_value
+    if not is_ip_address(host.ip) or not 0 < host.port <= MAX_PORT:
+        return Err(Unreadable("not an IPv4 address with a port"))
+    return decoded
+
+
 class ChangeApplier:
     """Applies changes of the store's topics to the components that depend on them.
 
@@ -96,46 +140,57 @@
 
     def _apply_operator_change(self, change: Change, now: Instant) -> None:
         for record in change.changed:
-            if self._codec.read_operator_key(record.key) is not None:
-                order = self._codec.read_rollout(record.value, record.offset)
-                if isinstance(order, Err):
-                    self._log_unreadable(record.key, order.err_value.reason)
+            with self._log_failure(record.key):
+                if self._codec.read_operator_key(record.key) is not None:
+                    self._apply_order(record, now)
                 else:
-                    self._rollouts.apply_order(order.ok_value, now)
-                continue
-            read = self._codec.read_configuration(record.value)
-            if isinstance(read, Err):
-                self._log_unreadable(record.key, read.err_value.reason)
-                continue
-            configuration = read.ok_value
-            table = self._planner.table
-            if table and table.configuration.version >= configuration.version:
-                continue
-            self._planner.table = RouteTable(configuration)
-            hosts = self._count_hosts(now)
-            self._quotas.set_accounts(configuration.accounts, hosts, now)
-            self._quotas.update_shares(hosts, now)
-            logger.info(
-                "configuration in force",
-                extra={
-                    "version": configuration.version,
-                    "offset": record.offset,
-                    "routes": len(configuration.routes),
-                    "accounts": len(configuration.accounts),
-                },
-            )
+                    self._apply_configuration(record, now)
+
+    def _apply_order(self, record: KeyedRecord, now: Instant) -> None:
+        order = self._codec.read_rollout(record.value, record.offset)
+        if isinstance(order, Err):
+            self._log_unreadable(record.key, order.err_value.reason)
+        else:
+            self._rollouts.apply_order(order.ok_value, now)
+
+    def _apply_configuration(self, record: KeyedRecord, now: Instant) -> None:
+        read = self._codec.read_configuration(record.value)
+        if isinstance(read, Err):
+            self._log_unreadable(record.key, read.err_value.reason)
+            return
+        configuration = read.ok_value
+        table = self._planner.table
+        if table and table.configuration.version >= configuration.version:
+            return
+        self._planner.table = RouteTable(configuration)
+        hosts = self._count_hosts(now)
+        self._quotas.set_accounts(configuration.accounts, hosts, now)
+        self._quotas.update_shares(hosts, now)
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": configuration.version,
+                "offset": record.offset,
+                "routes": len(configuration.routes),
+                "accounts": len(configuration.accounts),
+            },
+        )
 
     def _apply_upstream_change(self, change: Change, now: Instant) -> None:
         for record in change.changed:
-            read = self._codec.read_upstream(record.key, record.value)
-            if isinstance(read, Err):
-                self._log_unreadable(record.key, read.err_value.reason)
-                self._fleet.remove(UpstreamId(record.key), now)
-            else:
-                self._fleet.put(read.ok_value, now)
+            with self._log_failure(record.key):
+                self._apply_upstream(record, now)
         for key in change.removed:
             self._handle_lapse(UpstreamId(key), now)
 
+    def _apply_upstream(self, record: KeyedRecord, now: Instant) -> None:
+        read = self._codec.read_upstream(record.key, record.value)
+        if isinstance(read, Err):
+            self._log_unreadable(record.key, read.err_value.reason)
+            self._fleet.remove(UpstreamId(record.key), now)
+        else:
+            self._fleet.put(read.ok_value, now)
+
     def _handle_lapse(self, upstream_id: UpstreamId, now: Instant) -> None:
         """Remove an upstream whose registration lapsed.
 
@@ -170,26 +225,46 @@
 
     def _apply_status_change(self, change: Change) -> None:
         for record in change.changed:
-            status = self._codec.read_status(record.value)
-            if isinstance(status, Err):
-                self._log_unreadable(record.key, status.err_value.reason)
-            else:
-                self._rollouts.apply_status(status.ok_value)
+            with self._log_failure(record.key):
+                self._apply_status(record)
+
+    def _apply_status(self, record: KeyedRecord) -> None:
+        status = self._codec.read_status(record.value)
+        if isinstance(status, Err):
+            self._log_unreadable(record.key, status.err_value.reason)
+        else:
+            self._rollouts.apply_status(status.ok_value)
 
     def _apply_host_change(self, change: Change, now: Instant) -> None:
         for record in change.changed:
-            try:
-                registration = msgspec.json.decode(record.value)
-                address = (str(registration["ip"]), int(registration["port"]))
-                data_centre = DataCentre(str(registration["data_centre"]))
-                started_ms = int(registration["started_ms"])
-                relay_mbps = int(registration.get("strength", 0))
-            except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-                self._log_unreadable(record.key, repr(error))
-                continue
-            self._members.add_registered(
-                HostId(record.key), address, data_centre, started_ms, relay_mbps, now
-            )
+            with self._log_failure(record.key):
+                self._apply_host(record, now)
+
+    def _apply_host(self, record: KeyedRecord, now: Instant) -> None:
+        read = read_host(record.value)
+        if isinstance(read, Err):
+            self._log_unreadable(record.key, read.err_value.reason)
+            return
+        host = read.ok_value
+        self._members.add_registered(
+            HostId(record.key),
+            (host.ip, host.port),
+            DataCentre(host.data_centre),
+            host.started_ms,
+            host.relay_mbps,
+            now,
+        )
+
+    @contextmanager
+    def _log_failure(self, key: str) -> Iterator[None]:
+        """Go on with the other records of a change if one cannot be applied.
+
+        The replica has the change already, so it would not be applied later.
+        """
+        try:
+            yield
+        except Exception:
+            logger.exception("record not applied", extra={"key": key})
 
     def _log_unreadable(self, key: str, reason: str) -> None:
         logger.warning("unreadable record", extra={"key": key, "reason": reason})
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_records.py
@@ -12,6 +12,7 @@
 
 from waxwingbarrow.core import Clock
 from waxwingbarrow.gateway._crash_tracker import CrashTracker, PartLosses
+from waxwingbarrow.gateway._decoding import BoundedInt, decode_json
 from waxwingbarrow.gateway._ports import (
     KeyedPage,
     KeyedRecord,
@@ -36,7 +37,7 @@
         Wall time at which it was written, to which the age in `losses` refers.
     """
 
-    recorded_ms: int
+    recorded_ms: BoundedInt
     losses: PartLosses
 
 
@@ -77,13 +78,14 @@
         if not record.value:
             return
         now = self._clock.now()
-        try:
-            restored = msgspec.json.decode(record.value, type=_Record)
-        except msgspec.DecodeError as error:
+        decoded = decode_json(record.value, _Record)
+        if isinstance(decoded, Err):
             logger.warning(
-                "unreadable record", extra={"key": record.key, "reason": str(error)}
+                "unreadable record",
+                extra={"key": record.key, "reason": decoded.err_value.reason},
             )
             return
+        restored = decoded.ok_value
         part, depth, age_ms, lost, cleared = restored.losses
         age_ms += max(now.wall_ms - restored.recorded_ms, 0)
         self._tracker.update_from_peer([], [(part, depth, age_ms, lost, cleared)], now)
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
@@ -7,6 +7,7 @@
 import attrs
 
 from waxwingbarrow.core import Incarnation, Instant, UpstreamId
+from waxwingbarrow.gateway._decoding import BoundedInt
 from waxwingbarrow.routing import (
     CrashSuspects,
     CrashSuspicion,
@@ -43,10 +44,10 @@
 MAX_SUMMARY_PARTS = 256
 
 # Upstreams with the wall time in ms at which their processes started.
-Processes = list[tuple[str, int]]
+Processes = list[tuple[str, BoundedInt]]
 # Key of a part, its depth in the prompts, the time in ms since the last change, the
 # upstreams that crashed under it, and those of them that it did not crash.
-PartLosses = tuple[str, int, int, Processes, Processes]
+PartLosses = tuple[str, BoundedInt, BoundedInt, Processes, Processes]
 
 
 @attrs.frozen
--- a/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from waxwingbarrow.core import AccountId, Instant, ServiceName, VersionName
+from waxwingbarrow.gateway._decoding import BoundedInt, decode_msgpack
 from waxwingbarrow.gateway._duties import Lease
 from waxwingbarrow.gateway._model import RolloutState, RolloutStatus
 from waxwingbarrow.gateway._ports import (
@@ -46,8 +47,8 @@
         Number of requests that began to run, by account.
     """
 
-    window: int
-    counts: dict[str, int]
+    window: BoundedInt
+    counts: dict[str, BoundedInt]
 
 
 class UsageTask:
@@ -124,7 +125,17 @@
             page = read.ok_value
             for record in page.records:
                 self._offset = record.offset + 1
-                usage = msgspec.msgpack.decode(record.value, type=UsageRecord)
+                decoded = decode_msgpack(record.value, UsageRecord)
+                if isinstance(decoded, Err):
+                    logger.warning(
+                        "unreadable usage record",
+                        extra={
+                            "offset": record.offset,
+                            "reason": decoded.err_value.reason,
+                        },
+                    )
+                    continue
+                usage = decoded.ok_value
                 self._recorded.setdefault(usage.window, usage.counts)
             if not page.records or self._offset >= page.end:
                 return True
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -19,7 +19,7 @@
 from waxwingbarrow.capacity import ScalingPolicy
 from waxwingbarrow.core import DataCentre, HostId, Instant
 from waxwingbarrow.gateway._callers import CallerServer
-from waxwingbarrow.gateway._change_applier import ChangeApplier
+from waxwingbarrow.gateway._change_applier import ChangeApplier, HostRegistration
 from waxwingbarrow.gateway._clock import BootClock
 from waxwingbarrow.gateway._crash_records import CrashRecorder
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
@@ -379,13 +379,13 @@
         """Register this host in the store, then follow the list of hosts."""
         settings = self._settings
         value = msgspec.json.encode(
-            {
-                "ip": settings.ip,
-                "port": settings.peer_port,
-                "data_centre": settings.data_centre,
-                "started_ms": self._started_at.wall_ms,
-                "strength": self._relay_mbps,
-            }
+            HostRegistration(
+                ip=settings.ip,
+                port=settings.peer_port,
+                data_centre=settings.data_centre,
+                started_ms=self._started_at.wall_ms,
+                relay_mbps=self._relay_mbps,
+            )
         )
         while True:
             written = await self._store.write_keyed(
