--- a/libs/gateway/src/waxwingbarrow/gateway/_callers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_callers.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from waxwingbarrow.gateway._decoding import parse_decimal
 from waxwingbarrow.gateway._http_heads import write_response_head
 from waxwingbarrow.gateway._model import Call, CallerLimits, Headers
 
@@ -166,8 +167,8 @@
             if lowered == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             elif lowered == b"content-length":
-                declared = int(value) if value.isdigit() else 0
-                if declared > self._server.limits().max_body_bytes:
+                limit = self._server.limits().max_body_bytes
+                if parse_decimal(value.decode("latin-1"), limit) is None:
                     self._reject(413, "the declared body is too large")
 
     def on_body(self, body: bytes) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/_events.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_events.py
@@ -1,5 +1,7 @@
 """Splitting of a server-sent event stream into complete events."""
 
+from waxwingbarrow.gateway._decoding import parse_decimal
+
 EVENT_END = b"\n\n"
 ID_PREFIX = b"id:"
 # Bytes that may follow the last numbered event without completing another one.
@@ -106,12 +108,18 @@
         self._resumed_after = self.last_id
 
 
+def _parse_number(text: bytes) -> int | None:
+    return parse_decimal(text.strip().decode("latin-1"))
+
+
 def _find_first_id(events: bytes) -> int | None:
     """Return the number of the first numbered event."""
     for line in events.split(b"\n"):
-        number = line.removeprefix(ID_PREFIX).strip()
-        if line.startswith(ID_PREFIX) and number.isdigit():
-            return int(number)
+        if not line.startswith(ID_PREFIX):
+            continue
+        number = _parse_number(line.removeprefix(ID_PREFIX))
+        if number is not None:
+            return number
     return None
 
 
@@ -123,8 +131,8 @@
         if not events.startswith(ID_PREFIX, start):
             return None
         line_end = events.index(b"\n", start)
-        number = events[start + len(ID_PREFIX) : line_end].strip()
-        if number.isdigit():
-            return int(number), events.index(EVENT_END, start) + len(EVENT_END)
+        number = _parse_number(events[start + len(ID_PREFIX) : line_end])
+        if number is not None:
+            return number, events.index(EVENT_END, start) + len(EVENT_END)
         end = start
     return None
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -123,7 +123,9 @@
         name = account.name if account else ""
         service = pick_service(route, metadata.request_id)
         fingerprints = make_fingerprints(call, name, service, metadata)
-        refused = self._check_suspicion(fingerprints, now)
+        refused = self._check_suspicion(fingerprints, now) or self._check_size(
+            service, metadata
+        )
         if refused is not None:
             return refused
         cost = self._quotas.compute_cost(account, metadata)
@@ -160,6 +162,17 @@
             return None
         return Refused(503, reason, RETRY_AFTER_SUSPECT_S)
 
+    def _check_size(
+        self, service: ServiceName, metadata: CallMetadata
+    ) -> Refused | None:
+        """Refuse a prompt that does not fit into the memory of any engine."""
+        engine = self.find_engine(service)
+        if engine is None or not engine.memory_tokens:
+            return None
+        if metadata.prompt_tokens <= engine.memory_tokens:
+            return None
+        return Refused(503, "larger than an engine's memory", RETRY_AFTER_SUSPECT_S)
+
     async def admit(self, plan: Plan, now: Instant) -> Refused | None:
         """Charge a request to its account; return a refusal if it is over the limit.
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_replica_fetcher.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_replica_fetcher.py
@@ -11,6 +11,11 @@
 from waxwingbarrow.core import Clock, Instant
 from waxwingbarrow.gateway._channel_pools import ChannelPool
 from waxwingbarrow.gateway._channels import ChannelError
+from waxwingbarrow.gateway._decoding import (
+    DECODING_ERRORS,
+    BoundedInt,
+    parse_decimal,
+)
 from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord
 from waxwingbarrow.gateway._replica import Replica
 
@@ -29,7 +34,7 @@
 MAX_LISTING_BYTES = 16 * 1024 * 1024
 
 # For each topic its end offset, and the offset, key and value of each record.
-Listing = dict[str, tuple[int, list[tuple[int, str, bytes]]]]
+Listing = dict[str, tuple[BoundedInt, list[tuple[BoundedInt, str, bytes]]]]
 
 
 def encode_listing(replicas: Mapping[str, Replica], known: Mapping[str, int]) -> bytes:
@@ -57,7 +62,7 @@
 
     Raises
     ------
-    zlib.error, msgspec.DecodeError
+    zlib.error, any of `DECODING_ERRORS`
         The bytes are not a listing.
     """
     decompressed = zlib.decompressobj().decompress(data, MAX_LISTING_BYTES)
@@ -85,7 +90,8 @@
     {'operator': 3}
     """
     pairs = parse_qsl(query.decode("latin-1"))
-    return {topic: int(end) for topic, end in pairs if end.isdecimal()}
+    ends = {topic: parse_decimal(end) for topic, end in pairs}
+    return {topic: end for topic, end in ends.items() if end is not None}
 
 
 class ReplicaFetcher:
@@ -183,13 +189,7 @@
                 finally:
                     channel.close()
             pages = decode_listing(data)
-        except (
-            ChannelError,
-            TimeoutError,
-            zlib.error,
-            msgspec.DecodeError,
-            ValueError,
-        ) as error:
+        except (ChannelError, TimeoutError, zlib.error, *DECODING_ERRORS) as error:
             logger.warning(
                 "fetch of replicas from a peer failed",
                 extra={"peer": address[0], "error": repr(error)},
--- a/libs/routing/src/waxwingbarrow/routing/_parts.py
+++ b/libs/routing/src/waxwingbarrow/routing/_parts.py
@@ -7,6 +7,9 @@
 
 from waxwingbarrow.core import UpstreamId
 
+# Parts tracked for one engine: callers may name any number of parts without tokens.
+MAX_CACHED_PARTS = 4_096
+
 
 @attrs.frozen
 class PromptPart:
@@ -58,12 +61,17 @@
         """Record that an engine receives a prompt with these parts."""
         cache = self._caches.setdefault(upstream, _EngineCache())
         for part in parts:
+            if part.tokens > self.capacity_tokens:
+                # No engine can cache it, nor what follows it.
+                break
             if part.part in cache.parts:
                 cache.parts.move_to_end(part.part)
             else:
                 cache.parts[part.part] = part.tokens
                 cache.tokens += part.tokens
-        while cache.tokens > self.capacity_tokens and len(cache.parts) > 1:
+        while (
+            cache.tokens > self.capacity_tokens or len(cache.parts) > MAX_CACHED_PARTS
+        ) and len(cache.parts) > 1:
             _, tokens = cache.parts.popitem(last=False)
             cache.tokens -= tokens
 
