Start a background task that fails again instead of stopping the gateway

Callers saw every request of a gateway cut when any of its background tasks raised an exception, again after each restart if the cause was still there.

Cause: Gateway._on_task_done stopped the process.

Ruled out: to stop after many failures, as the cause outlives the process.

Steps of a tick, duties, messages of peers and callbacks are contained one by one, counted by part and logged at intervals.

--- a/libs/gateway/src/waxwingbarrow/gateway/_duties.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_duties.py
@@ -20,6 +20,7 @@
     Topic,
     describe_failure,
 )
+from waxwingbarrow.gateway._supervision import Supervisor
 
 logger = logging.getLogger("waxwingbarrow.gateway.duties")
 
@@ -141,6 +142,8 @@
         only a few hosts do.
     note_token : callable
         Called with the fencing token, or with 0 while the duties are not held.
+    supervisor : Supervisor
+        Contains the failures of single tasks.
     """
 
     def __init__(
@@ -152,6 +155,7 @@
         clock: Clock,
         is_candidate: Callable[[], bool],
         note_token: Callable[[int], None],
+        supervisor: Supervisor,
     ) -> None:
         self._member = member
         self._store = store
@@ -160,6 +164,7 @@
         self._clock = clock
         self._is_candidate = is_candidate
         self._note_token = note_token
+        self._supervisor = supervisor
         self._active_token: int | None = None
         self._is_member = False
         self._is_stopping = False
@@ -240,7 +245,8 @@
             if self._lease.find_token(now) != token:
                 return
             self._lease.note_act(now)
-            await task.step(token, now)
+            with self._supervisor.contain("duty"):
+                await task.step(token, now)
 
     async def _take_over(self, token: int) -> bool:
         for topic in (Topic.USAGE, Topic.STATUS):
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -9,9 +9,8 @@
 import logging
 import random
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 import msgspec
 from result import Err
@@ -55,6 +54,7 @@
     read_settings,
     split_address,
 )
+from waxwingbarrow.gateway._supervision import Supervisor, TaskStart
 from waxwingbarrow.gateway._usage import UsageCounter
 from waxwingbarrow.gateway._work_meter import WorkMeter
 from waxwingbarrow.rollout import CanaryPolicy
@@ -113,7 +113,7 @@
         self._rng = random.Random(f"{settings.host_id}/{clock.now().wall_ms}")
         self._started_at = clock.now()
         self._stopping: asyncio.Event = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = Supervisor(metrics.unexpected_failures)
         self._settings_digest = b""
         host = HostId(settings.host_id)
         data_centre = DataCentre(settings.data_centre)
@@ -272,6 +272,7 @@
             self._rng,
             lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
             self._placement_adviser.note_attempt,
+            self._supervisor,
         )
         self._follower = Follower(
             store,
@@ -328,7 +329,14 @@
         # token of the previous process.
         member = f"{host}/{self._started_at.wall_ms}"
         self._duty_runner = DutyRunner(
-            member, store, lease, tasks, clock, self._is_candidate, self._apply_token
+            member,
+            store,
+            lease,
+            tasks,
+            clock,
+            self._is_candidate,
+            self._apply_token,
+            self._supervisor,
         )
 
     async def run(self) -> None:
@@ -355,6 +363,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        loop.set_exception_handler(self._supervisor.handle_loop_failure)
 
     def _list_internal_addresses(self) -> list[tuple[str, int]]:
         settings = self._settings
@@ -401,33 +410,21 @@
         await self._follower.follow_hosts()
 
     def _start_background_tasks(self) -> None:
-        for loop in (
-            self._register(),
-            self._follower.follow_operator(),
-            self._follower.follow_upstreams(),
-            self._follow_status(),
-            self._crash_recorder.run(),
-            self._peer_protocol.send_heartbeats(),
-            self._tick_loop(),
-            self._fetch_from_seeds(),
-            self._duty_runner.run(),
-            self._callers.enforce_timeouts(),
-            self._watch_settings_file(),
-        ):
-            self._spawn(loop)
-
-    def _spawn(self, loop: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(loop)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            logger.error(
-                "background task failed; stopping the gateway",
-                exc_info=task.exception(),
-            )
-            self._stopping.set()
+        tasks: dict[str, TaskStart] = {
+            "hosts": self._register,
+            "operator": self._follower.follow_operator,
+            "upstreams": self._follower.follow_upstreams,
+            "status": self._follow_status,
+            "crashes": self._crash_recorder.run,
+            "heartbeats": self._peer_protocol.send_heartbeats,
+            "ticks": self._tick_loop,
+            "seeds": self._fetch_from_seeds,
+            "duties": self._duty_runner.run,
+            "timeouts": self._callers.enforce_timeouts,
+            "settings": self._watch_settings_file,
+        }
+        for name, start in tasks.items():
+            self._supervisor.spawn(name, start)
 
     # Background tasks
 
@@ -445,18 +442,37 @@
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _tick(self, now: Instant) -> None:
+        steps: dict[str, Callable[[Instant], None]] = {
+            "shares": self._update_shares,
+            "rollouts": self._rollouts.decide,
+            "lapsed upstreams": self._change_applier.remove_lapsed,
+            "eligibility": self._update_eligibility,
+            "moves": self._mover.start_moves,
+            "scaling": self._note_workers,
+            "idle connections": lambda now: self._fleet.close_expired(
+                now.mono_ms / 1000
+            ),
+            "logs": self._flush_logs,
+        }
+        for name, step in steps.items():
+            with self._supervisor.contain(name):
+                step(now)
+
+    def _update_shares(self, now: Instant) -> None:
         hosts = self._peer_protocol.count_hosts(now)
         self._quotas.update_shares(hosts, now)
         self._retry_budgets.set_host_count(hosts)
-        self._rollouts.decide(now)
-        self._change_applier.remove_lapsed(now)
+
+    def _update_eligibility(self, now: Instant) -> None:
         self._peer_sync.can_hold_duties = not (
             self._stopping.is_set() or self._store_health.is_unreachable
         )
-        self._mover.start_moves(now)
+
+    def _note_workers(self, now: Instant) -> None:
         if self._scaling is not None:
             self._scaling.note_initial_workers(now)
-        self._fleet.close_expired(now.mono_ms / 1000)
+
+    def _flush_logs(self, now: Instant) -> None:
         if self._log_handler is not None:
             self._log_handler.flush_lines()
 
@@ -539,7 +555,7 @@
         )
         self._callers.is_closing = True
         stop_ms = self._clock.now_ms()
-        self._spawn(self._duty_runner.stop())
+        self._supervisor.spawn("leave", self._duty_runner.stop)
         end_ms = (self._settings.bounds.grace_s - STOP_MARGIN_S) * 1000
         while (elapsed_ms := self._clock.now_ms() - stop_ms) < end_ms:
             await asyncio.sleep(0.1)
@@ -554,11 +570,9 @@
     async def _close(self) -> None:
         busy = self._callers.count_busy()
         self._peer_protocol.send_last_counts(self._clock.now())
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel_all()
         for server, _ in self._internal_servers:
             server.stop_listening()
         self._peer_protocol.close()
         logger.info("gateway stopped", extra={"cut_requests": busy})
-        if self._log_handler is not None:
-            self._log_handler.flush_lines()
+        self._flush_logs(self._clock.now())
--- a/libs/gateway/src/waxwingbarrow/gateway/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_metrics.py
@@ -41,6 +41,12 @@
             buckets=FIRST_EVENT_BUCKETS_S,
             registry=self.registry,
         )
+        self.unexpected_failures = Counter(
+            "waxwingbarrow_gateway_unexpected_failures_total",
+            "Failures that no code expects, by the part that failed",
+            ("part",),
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "waxwingbarrow_gateway_dropped_log_lines_total",
             "Log lines that were left out to bound the volume",
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -43,6 +43,7 @@
     rank_relays,
 )
 from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
+from waxwingbarrow.gateway._supervision import Supervisor
 
 logger = logging.getLogger("waxwingbarrow.gateway.peers")
 
@@ -98,6 +99,8 @@
         Answers the requests of other hosts for permits, and gets their answers.
     note_attempt : callable
         Called with the report of a host about an attempt, and the host's address.
+    supervisor : Supervisor
+        Contains the failures of single messages.
     """
 
     def __init__(
@@ -114,6 +117,7 @@
         rng: random.Random,
         call_later: Callable[[float, Callable[[], None]], object],
         note_attempt: Callable[[AttemptReport, str, Instant], None],
+        supervisor: Supervisor,
     ) -> None:
         self._own = own
         self._peer_sync = peer_sync
@@ -128,6 +132,7 @@
         self._rng = rng
         self._call_later = call_later
         self._note_attempt = note_attempt
+        self._supervisor = supervisor
         self._fragmenter = Fragmenter()
         self._reassembler = Reassembler()
         self._transport: asyncio.DatagramTransport | None = None
@@ -155,6 +160,10 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        with self._supervisor.contain("messages"):
+            self._handle_datagram(data, addr)
+
+    def _handle_datagram(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         now = self._clock.now()
         joined = self._reassembler.join(addr[0], data)
         if isinstance(joined, Err):
--- a/libs/gateway/src/waxwingbarrow/gateway/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway, read from a JSON file."""
 
+import logging
 from pathlib import Path
 from typing import Any
 
@@ -7,16 +8,27 @@
 from result import Err, Ok, Result
 
 from waxwingbarrow.core import FieldInvalid, in_range, read_json
+from waxwingbarrow.gateway._decoding import MAX_PORT, parse_decimal
 
 ADDRESS_HELP = "an IP address and a port, such as 10.0.0.1:8000"
 
 
 def _check_address(instance: Any, attribute: Any, value: str) -> None:
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not parse_decimal(port, MAX_PORT):
         raise ValueError(f"{attribute.name} must be {ADDRESS_HELP}")
 
 
+def _check_addresses(instance: Any, attribute: Any, value: tuple[str, ...]) -> None:
+    for address in value:
+        _check_address(instance, attribute, address)
+
+
+def _check_log_level(instance: Any, attribute: Any, value: str) -> None:
+    if value.upper() not in logging.getLevelNamesMapping():
+        raise ValueError(f"{attribute.name} must be a log level, such as INFO")
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of an address.
 
@@ -158,19 +170,19 @@
     peer_port: int = attrs.field(validator=in_range(1, 65_535))
     store: StoreSettings
     cloud: CloudSettings | None = None
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = attrs.field(default=(), validator=_check_addresses)
     is_first_start: bool = False
     size: HostSize = HostSize()
     bounds: Bounds = Bounds()
     metrics_port: int = attrs.field(default=9_464, validator=in_range(0, 65_535))
-    log_level: str = "INFO"
+    log_level: str = attrs.field(default="INFO", validator=_check_log_level)
 
 
 def read_settings(path: Path) -> Result[GatewaySettings, FieldInvalid]:
     """Read and check a settings file."""
     try:
         text = path.read_text()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         return Err(
             FieldInvalid(
                 source=str(path),
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -6,6 +6,7 @@
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._members import Member, Members
+from waxwingbarrow.gateway._metrics import Metrics
 from waxwingbarrow.gateway._peer_sync import PeerSync
 from waxwingbarrow.gateway._peers import PeerProtocol
 from waxwingbarrow.gateway._permits import Permits
@@ -16,6 +17,7 @@
 from waxwingbarrow.gateway._replica import Replica
 from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
 from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.gateway._supervision import Supervisor
 from waxwingbarrow.gateway._usage import UsageCounter
 from waxwingbarrow.gateway._work_meter import WorkMeter
 from waxwingbarrow.rollout import CanaryPolicy
@@ -23,6 +25,13 @@
 PORT = 7000
 
 
+class StrictSupervisor(Supervisor):
+    """Raises the failures that it would contain."""
+
+    def note_failure(self, name, error):
+        raise error
+
+
 class FakeTransport:
     def __init__(self, network, address):
         self.network = network
@@ -181,6 +190,7 @@
             random.Random(name),
             network.call_later,
             lambda report, sender, now: None,
+            StrictSupervisor(Metrics().unexpected_failures),
         )
         self.fetch_count = 0
         fetcher.fetch = self.note_fetch
--- a/libs/gateway/tests/test_duties.py
+++ b/libs/gateway/tests/test_duties.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from peer_network import StrictSupervisor
 from result import Err, Ok
 
 from waxwingbarrow.core import AccountId, HostId, Instant, ManualClock
@@ -18,6 +19,7 @@
 )
 from waxwingbarrow.gateway._duties import DutyRunner, Lease
 from waxwingbarrow.gateway._duty_tasks import UsageTask
+from waxwingbarrow.gateway._metrics import Metrics
 from waxwingbarrow.gateway._usage import UsageCounter
 
 RETURN_WAIT_MS = 3_000
@@ -295,6 +297,7 @@
         ManualClock(),
         lambda: True,
         lambda token: None,
+        StrictSupervisor(Metrics().unexpected_failures),
     )
     running = asyncio.create_task(duty_runner.run())
     while not renewals:
@@ -315,6 +318,7 @@
         ManualClock(),
         lambda: is_candidate[0],
         lambda token: None,
+        StrictSupervisor(Metrics().unexpected_failures),
     )
     running = asyncio.create_task(duty_runner.run())
     await asyncio.sleep(0.05)
@@ -339,6 +343,7 @@
         ManualClock(),
         lambda: True,
         lambda token: None,
+        StrictSupervisor(Metrics().unexpected_failures),
     )
     running = asyncio.create_task(duty_runner.run())
     await asyncio.sleep(0.05)
@@ -367,6 +372,7 @@
         clock,
         lambda: True,
         tokens.append,
+        StrictSupervisor(Metrics().unexpected_failures),
     )
     for _ in range(3):
         await duty_runner._renew()
