Bound the numbers in messages between hosts, and check their addresses

A message of another host with a large number could be summed into one that no host can read, and an address that is none raised ValueError in the task that sends messages: hosts would have heard nothing of each other.

Cause: integers and floats of messages had no bounds, and holders' and deputies' addresses were used as they came.

Numbers are bounded when a message is decoded, sums are capped at the same bounds, and nothing is sent to a text that is no IPv4 address.

--- a/libs/gateway/src/waxwingbarrow/gateway/_decoding.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_decoding.py
@@ -4,6 +4,7 @@
 within the bounds or an error, never another exception.
 """
 
+import functools
 import ipaddress
 from collections.abc import Callable
 from typing import Annotated, TypeVar
@@ -22,8 +23,8 @@
 
 BoundedInt = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 BoundedFloat = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-# Hashes and identifiers, which are not added up.
-Unsigned64 = Annotated[int, msgspec.Meta(ge=0, le=2**64 - 1)]
+# Hashes and identifiers, which are not added up. MessagePack has no larger integers.
+Unsigned64 = Annotated[int, msgspec.Meta(ge=0)]
 
 # What decoders raise: msgspec's own errors, invalid UTF-8 or numbers, nesting that is
 # too deep, and numbers without a representation.
@@ -79,6 +80,7 @@
     return host, int(digits)
 
 
+@functools.lru_cache(maxsize=4_096)
 def is_ip_address(host: str) -> bool:
     """Return whether a text is an IPv4 address in the usual form."""
     try:
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_messages.py
@@ -3,10 +3,16 @@
 import enum
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
 from waxwingbarrow.core import UpstreamId
 from waxwingbarrow.gateway._crash_tracker import PartLosses
+from waxwingbarrow.gateway._decoding import (
+    BoundedFloat,
+    BoundedInt,
+    Unsigned64,
+    decode_with,
+)
 from waxwingbarrow.gateway._notices import NoticeReport, UpstreamProcess
 from waxwingbarrow.gateway._ports import Unreadable
 
@@ -68,26 +74,28 @@
         What upstreams ask of the hosts; see `NoticeReport`.
     """
 
-    format: int
+    format: BoundedInt
     host: str
-    started_ms: int
+    started_ms: BoundedInt
     data_centre: str
-    end_offsets: dict[str, int]
-    loads: list[tuple[str, int, int, int]] = []
-    demands: list[tuple[str, float]] = []
-    usage: list[tuple[int, str, int]] = []
-    rollout_counts: list[tuple[str, int, bool, str, int, int, float]] = []
-    parts: list[tuple[str, list[tuple[int, int]]]] = []
-    suspects: list[tuple[str, list[tuple[str, int]]]] = []
-    work: list[tuple[str, float]] = []
-    taken: list[tuple[str, float]] = []
-    fencing_token: int = 0
-    fleet_hash: int = 0
-    withdrawn: list[tuple[str, int]] = []
-    relay_mbps: int = 0
-    eligibility: int = 1
+    end_offsets: dict[str, BoundedInt]
+    loads: list[tuple[str, BoundedInt, BoundedInt, BoundedInt]] = []
+    demands: list[tuple[str, BoundedFloat]] = []
+    usage: list[tuple[BoundedInt, str, BoundedInt]] = []
+    rollout_counts: list[
+        tuple[str, BoundedInt, bool, str, BoundedInt, BoundedInt, BoundedFloat]
+    ] = []
+    parts: list[tuple[str, list[tuple[Unsigned64, BoundedInt]]]] = []
+    suspects: list[tuple[str, list[tuple[str, BoundedInt]]]] = []
+    work: list[tuple[str, BoundedFloat]] = []
+    taken: list[tuple[str, BoundedFloat]] = []
+    fencing_token: BoundedInt = 0
+    fleet_hash: Unsigned64 = 0
+    withdrawn: list[tuple[str, BoundedInt]] = []
+    relay_mbps: BoundedInt = 0
+    eligibility: BoundedInt = 1
     is_for_holder: bool = False
-    operator_age_ms: int | None = None
+    operator_age_ms: BoundedInt | None = None
     part_losses: list[PartLosses] = []
     notices: list[NoticeReport] = []
 
@@ -123,25 +131,25 @@
         does not answer, the preferred one first.
     """
 
-    format: int
+    format: BoundedInt
     relay: str
-    started_ms: int
+    started_ms: BoundedInt
     data_centre: str
     is_total: bool
-    host_count: int
+    host_count: BoundedInt
     members: list[str]
-    holder: tuple[int, str] | None
-    end_offsets: dict[str, int]
-    fleet_hash: int
-    loads: list[tuple[str, int, int, int]]
-    demands: list[tuple[str, float]]
-    work: list[tuple[str, float]]
-    parts: list[tuple[str, list[tuple[int, int]]]]
-    suspects: list[tuple[str, list[tuple[str, int]]]]
-    withdrawn: list[tuple[str, int]]
-    eligibility: int = 1
+    holder: tuple[BoundedInt, str] | None
+    end_offsets: dict[str, BoundedInt]
+    fleet_hash: Unsigned64
+    loads: list[tuple[str, BoundedInt, BoundedInt, BoundedInt]]
+    demands: list[tuple[str, BoundedFloat]]
+    work: list[tuple[str, BoundedFloat]]
+    parts: list[tuple[str, list[tuple[Unsigned64, BoundedInt]]]]
+    suspects: list[tuple[str, list[tuple[str, BoundedInt]]]]
+    withdrawn: list[tuple[str, BoundedInt]]
+    eligibility: BoundedInt = 1
     replacement: str = ""
-    operator_age_ms: int | None = None
+    operator_age_ms: BoundedInt | None = None
     deputies: list[str] = []
     part_losses: list[PartLosses] = []
     notices: list[NoticeReport] = []
@@ -170,10 +178,10 @@
 
     service: str
     data_centre: str
-    prompt_tokens: int
-    output_tokens: int
-    parts: list[tuple[int, int]]
-    latest_start_ms: float
+    prompt_tokens: BoundedInt
+    output_tokens: BoundedInt
+    parts: list[tuple[Unsigned64, BoundedInt]]
+    latest_start_ms: BoundedFloat
     version: str = ""
     excluded_versions: list[str] = []
     avoided_upstreams: list[str] = []
@@ -199,10 +207,10 @@
     """
 
     upstream: str
-    start_ms: float
-    cached_tokens: int
-    running: int
-    candidates: int
+    start_ms: BoundedFloat
+    cached_tokens: BoundedInt
+    running: BoundedInt
+    candidates: BoundedInt
     is_permitted: bool = False
 
 
@@ -240,10 +248,10 @@
         Wall time of the start of the engine's process, as it is registered.
     """
 
-    format: int
-    number: int
+    format: BoundedInt
+    number: BoundedInt
     upstream: str
-    started_ms: int
+    started_ms: BoundedInt
     outcome: AttemptOutcome
 
 
@@ -264,10 +272,10 @@
         For a request to a model engine: what its placement depends on.
     """
 
-    format: int
-    number: int
+    format: BoundedInt
+    number: BoundedInt
     account: str
-    cost: float
+    cost: BoundedFloat
     placement: PlacementQuery | None = None
 
 
@@ -293,12 +301,12 @@
         Where to send an admitted request.
     """
 
-    format: int
-    number: int
+    format: BoundedInt
+    number: BoundedInt
     is_keeper: bool
     admitted: bool
-    retry_after_s: float | None = None
-    left: float | None = None
+    retry_after_s: BoundedFloat | None = None
+    left: BoundedFloat | None = None
     placement: PlacementAdvice | None = None
 
 
@@ -315,8 +323,8 @@
         What the sender knows of the upstream's limit.
     """
 
-    format: int
-    number: int
+    format: BoundedInt
+    number: BoundedInt
     notice: NoticeReport
 
     @property
@@ -340,11 +348,11 @@
         Time until a permit will be available, if none was granted.
     """
 
-    format: int
-    number: int
+    format: BoundedInt
+    number: BoundedInt
     is_keeper: bool
     granted: bool
-    wait_ms: int = 0
+    wait_ms: BoundedInt = 0
 
 
 Message = (
@@ -368,10 +376,10 @@
 
 def decode_message(data: bytes) -> Result[Message, Unreadable]:
     """Deserialize a message; bytes that are not a message give an `Err`."""
-    try:
-        message = _decoder.decode(data)
-    except (msgspec.DecodeError, ValueError) as error:
-        return Err(Unreadable(str(error)))
+    decoded = decode_with(_decoder.decode, data)
+    if isinstance(decoded, Err):
+        return decoded
+    message = decoded.ok_value
     if message.format != MESSAGE_FORMAT:
         return Err(Unreadable(f"unsupported message format {message.format}"))
-    return Ok(message)
+    return decoded
--- a/libs/gateway/src/waxwingbarrow/gateway/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_notices.py
@@ -5,6 +5,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant, UpstreamId
+from waxwingbarrow.gateway._decoding import BoundedFloat, BoundedInt
 from waxwingbarrow.gateway._model import ResponseMetadata
 
 logger = logging.getLogger("waxwingbarrow.gateway.notices")
@@ -29,7 +30,7 @@
 UpstreamProcess = tuple[UpstreamId, int]
 # Identifier and start time of an upstream, its limit in requests per second or
 # `NO_LIMIT`, whether it is leaving, and the age in ms of its newest statement.
-NoticeReport = tuple[str, int, float, bool, int]
+NoticeReport = tuple[str, BoundedInt, BoundedFloat, bool, BoundedInt]
 
 
 @attrs.define
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -12,6 +12,7 @@
 
 from waxwingbarrow.core import Clock, HostId, Instant
 from waxwingbarrow.gateway._candidates import Candidacy, DutyEligibility
+from waxwingbarrow.gateway._decoding import is_ip_address
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._fragments import Fragmenter, Reassembler
 from waxwingbarrow.gateway._members import LIMIT_SHARE_TIMEOUT_MS, Member, Members
@@ -568,9 +569,14 @@
             self._transport.close()
 
     def _send(self, datagrams: list[bytes], address: str) -> None:
-        if self._transport is not None:
-            for datagram in datagrams:
-                self._transport.sendto(datagram, (address, self._peer_port))
+        if self._transport is None or self._transport.is_closing():
+            return
+        # Messages name the addresses of keepers and holders.
+        if not is_ip_address(address):
+            logger.warning("message has no valid address", extra={"address": address})
+            return
+        for datagram in datagrams:
+            self._transport.sendto(datagram, (address, self._peer_port))
 
     def _encode(self, message: Message) -> list[bytes]:
         return self._fragmenter.split(encode_message(message))
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -20,6 +20,7 @@
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
 from waxwingbarrow.gateway._crash_tracker import merge_part_losses, merge_suspects
+from waxwingbarrow.gateway._decoding import MAX_INTEGER, MAX_NUMBER
 from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
 from waxwingbarrow.gateway._ports import Topic
 
@@ -318,9 +319,8 @@
     for loads in lists:
         for name, running, pending, used in loads:
             total = totals.setdefault(name, [0, 0, 0])
-            total[0] += running
-            total[1] += pending
-            total[2] += used
+            for position, figure in enumerate((running, pending, used)):
+                total[position] = min(total[position] + figure, MAX_INTEGER)
     return [
         (name, running_sum, pending_sum, used_sum)
         for name, (running_sum, pending_sum, used_sum) in totals.items()
@@ -331,7 +331,7 @@
     totals: dict[str, float] = {}
     for rates in lists:
         for name, rate in rates:
-            totals[name] = totals.get(name, 0.0) + rate
+            totals[name] = min(totals.get(name, 0.0) + rate, MAX_NUMBER)
     return [(name, round(rate, 1)) for name, rate in totals.items()]
 
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
@@ -257,6 +257,9 @@
         rollout = self._rollouts.get(ServiceName(service))
         if rollout is None or rollout.order.offset != offset:
             return
+        if not 0 <= failures <= requests:
+            logger.warning("impossible counts of a peer", extra={"host": origin[0]})
+            return
         name = RouteName(route)
         counts = RouteCounts(name, requests, failures, log_ms_sum)
         rollout.peer_counts[origin, is_new, name] = counts
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -37,6 +37,9 @@
         self.network = network
         self.address = address
 
+    def is_closing(self):
+        return False
+
     def sendto(self, data, target):
         self.network.queue.append((self.address, target[0], data))
 
