Bound the bodies of all upstreams together, and free failed ones at once

Callers saw gateways killed for their memory, with all requests, while many upstreams answered with bodies without end.

Causes: nothing bounded the sum over the upstreams, and the kept error of a failed exchange held the frame that had read the body in a reference cycle.

The largest body is given up first, so sound responses are served meanwhile; a body that is declared too large is not read.

--- a/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
@@ -3,7 +3,11 @@
 import asyncio
 
 from waxwingbarrow.gateway._channels import Channel, ConnectError
-from waxwingbarrow.gateway._response_bounds import BodyBudget
+from waxwingbarrow.gateway._memory_budget import MemoryBudget
+from waxwingbarrow.gateway._response_bounds import (
+    MAX_POOLED_BODY_BYTES,
+    BodyBudget,
+)
 
 CONNECT_TIMEOUT_S = 0.6
 
@@ -17,14 +21,23 @@
         Address of the peer.
     max_idle : int
         Maximum number of idle connections.
+    memory : MemoryBudget or None
+        Memory for bodies that are read as a whole, shared with other pools.
     """
 
-    def __init__(self, host: str, port: int, max_idle: int = 32) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_idle: int = 32,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self._host = host
         self._port = port
         self._max_idle = max_idle
         self._idle: list[Channel] = []
         self._body_budget = BodyBudget()
+        self._memory = memory or MemoryBudget(MAX_POOLED_BODY_BYTES)
 
     async def acquire(self, now_s: float) -> Channel:
         """Return an idle connection or open one.
@@ -59,7 +72,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: Channel(self._body_budget), self._host, self._port
+                    lambda: Channel(self._body_budget, self._memory),
+                    self._host,
+                    self._port,
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
--- a/libs/gateway/src/waxwingbarrow/gateway/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_channels.py
@@ -8,6 +8,8 @@
 import attrs
 import httptools
 
+from waxwingbarrow.gateway._decoding import parse_decimal
+from waxwingbarrow.gateway._memory_budget import MemoryBudget
 from waxwingbarrow.gateway._model import Headers, ResponseHead
 from waxwingbarrow.gateway._response_bounds import (
     MAX_BODY_BYTES,
@@ -61,6 +63,14 @@
         super().__init__(reason)
         self.sent = sent
 
+    def renew(self) -> "BrokenError":
+        """Return a new error to raise.
+
+        The traceback of a kept one would keep the frames that it passed through, with
+        the bytes of the response, until the garbage collection of cycles.
+        """
+        return BrokenError(str(self), self.sent)
+
 
 @attrs.define
 class _Exchange:
@@ -80,7 +90,7 @@
     head: ResponseHead | None = None
     chunks: deque[bytes] = attrs.Factory(deque)
     complete: bool = False
-    error: ChannelError | None = None
+    error: BrokenError | None = None
     buffered_bytes: int = 0
     received_bytes: int = 0
     body_bytes: int = 0
@@ -102,8 +112,13 @@
         Time after which an idle connection is not used any more.
     """
 
-    def __init__(self, body_budget: BodyBudget | None = None) -> None:
+    def __init__(
+        self,
+        body_budget: BodyBudget | None = None,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         self._body_budget = body_budget or BodyBudget()
+        self._memory = memory or MemoryBudget(MAX_BODY_BYTES)
         self._transport: asyncio.Transport | None = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._exchange: _Exchange | None = None
@@ -270,7 +285,7 @@
         assert exchange is not None
         while exchange.head is None:
             if exchange.error is not None:
-                raise exchange.error
+                raise exchange.error.renew()
             await self._wait()
         return exchange.head
 
@@ -296,7 +311,7 @@
             if exchange.complete:
                 return b""
             if exchange.error is not None:
-                raise exchange.error
+                raise exchange.error.renew()
             await self._wait()
 
     async def read_body(self) -> bytes:
@@ -306,22 +321,48 @@
         ------
         BrokenError
             The connection closed before the body was complete, or the body is larger
-            than `MAX_BODY_BYTES` or than what is left of the peer's `BodyBudget`.
+            than `MAX_BODY_BYTES`, than what is left of the peer's `BodyBudget`, or than
+            other bodies that need memory at the same time.
         """
         parts = []
         size_bytes = 0
         budget = self._body_budget
+        self._check_declared_length()
         try:
             while data := await self.read_chunk():
                 parts.append(data)
                 size_bytes += len(data)
                 budget.free_bytes -= len(data)
+                self._memory.add(self, len(data), self._give_up_body)
                 if size_bytes > MAX_BODY_BYTES or budget.free_bytes < 0:
                     self.close()
                     raise BrokenError(f"the body has more than {size_bytes} bytes")
             return b"".join(parts)
         finally:
+            # A caller may keep the traceback, and with it this frame.
+            parts.clear()
             budget.free_bytes += size_bytes
+            self._memory.release(self)
+
+    def _check_declared_length(self) -> None:
+        """Close the connection at once if the body is declared to be too large."""
+        exchange = self._exchange
+        assert exchange is not None
+        for name, value in exchange.head.headers if exchange.head else ():
+            if name.lower() != b"content-length":
+                continue
+            if parse_decimal(value.decode("latin-1"), MAX_BODY_BYTES) is None:
+                self.close()
+                raise BrokenError(f"the body has more than {MAX_BODY_BYTES} bytes")
+
+    def _give_up_body(self) -> None:
+        """Fail the exchange and drop what was received, to free its memory."""
+        exchange = self._exchange
+        if exchange is not None:
+            # Also if the rest has arrived, as a part of the body is dropped here.
+            exchange.chunks.clear()
+            exchange.complete = False
+        self._fail(BrokenError("the bodies of all responses need too much memory"))
 
     def finish(self, now_s: float) -> None:
         """End the exchange; the connection becomes idle or is closed."""
@@ -358,7 +399,7 @@
         else:
             self._fail(BrokenError(reason))
 
-    def _fail(self, error: ChannelError) -> None:
+    def _fail(self, error: BrokenError) -> None:
         exchange = self._exchange
         if exchange is not None and exchange.error is None and not exchange.complete:
             exchange.error = error
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
@@ -12,8 +12,10 @@
     VersionName,
 )
 from waxwingbarrow.gateway._channel_pools import ChannelPool
+from waxwingbarrow.gateway._memory_budget import MemoryBudget
 from waxwingbarrow.gateway._model import Engine, UpstreamEntry
 from waxwingbarrow.gateway._notices import UpstreamNotices
+from waxwingbarrow.gateway._response_bounds import MAX_UPSTREAM_BODY_BYTES
 from waxwingbarrow.gateway._upstreams import Upstream
 from waxwingbarrow.routing import (
     BacklogTracker,
@@ -60,6 +62,9 @@
         Upstream and prompt parts of the requests that this host sent, not yet shared
         with its peers.
 
+    body_memory : MemoryBudget
+        Memory for the responses of all upstreams that are read as a whole.
+
     Parameters
     ----------
     drain_ms : int
@@ -75,6 +80,7 @@
         self.health = HealthRegistry(HEALTH_POLICY)
         self.notices = UpstreamNotices()
         self.sent_parts: list[tuple[UpstreamId, tuple[PromptPart, ...]]] = []
+        self.body_memory = MemoryBudget(MAX_UPSTREAM_BODY_BYTES)
         self._registrations_hash: int | None = None
         self._upstreams_by_service: dict[ServiceName, list[Upstream]] = {}
 
@@ -105,7 +111,8 @@
                     self._mark_leaving(known, entry.leaves_in_ms, now)
                 return
             self._discard(known, "upstream restarted under its id")
-        upstream = Upstream(entry, ChannelPool(entry.host, entry.port))
+        pool = ChannelPool(entry.host, entry.port, memory=self.body_memory)
+        upstream = Upstream(entry, pool)
         if entry.leaving:
             self._mark_leaving(upstream, entry.leaves_in_ms, now)
         self.upstreams[entry.upstream] = upstream
--- a/libs/gateway/src/waxwingbarrow/gateway/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_moves.py
@@ -169,7 +169,9 @@
         request = write_request_head(b"POST", path, headers) + body
         # Uses a pool of its own, as the pool of an upstream is closed when its
         # registration is removed.
-        pool = ChannelPool(source.entry.host, source.entry.port)
+        pool = ChannelPool(
+            source.entry.host, source.entry.port, memory=self._fleet.body_memory
+        )
         moved = None
         try:
             async with asyncio.timeout(MOVE_TIMEOUT_S):
--- a/libs/gateway/src/waxwingbarrow/gateway/_response_bounds.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_response_bounds.py
@@ -12,6 +12,8 @@
 MAX_SKIPPED_RESPONSES = 16
 # A body that is read as a whole. The largest are replicas of a configuration.
 MAX_BODY_BYTES = 16 * 1_048_576
+# Bodies from all upstreams together that are read as a whole at the same time.
+MAX_UPSTREAM_BODY_BYTES = 48 * 1_048_576
 # Bodies of all exchanges with one peer that are read as a whole at the same time.
 MAX_POOLED_BODY_BYTES = 32 * 1_048_576
 
--- a/libs/gateway/tests/test_endless_responses.py
+++ b/libs/gateway/tests/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import gc
 import itertools
 import socket
 import threading
@@ -15,7 +16,7 @@
 
 import attrs
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from waxwingbarrow.gateway import _events
@@ -25,6 +26,7 @@
     MAX_EVENT_BYTES,
     EventSplitter,
 )
+from waxwingbarrow.gateway._memory_budget import MemoryBudget
 from waxwingbarrow.gateway._response_bounds import MAX_OVERHEAD_BYTES
 
 MIB = 1_048_576
@@ -196,6 +198,117 @@
     assert budget.free_bytes == free_bytes
 
 
+async def read_with(memory: MemoryBudget, port: int) -> bytes | BrokenError:
+    """Read a whole body whose memory is shared with other peers."""
+    pool = ChannelPool("127.0.0.1", port, memory=memory)
+    channel = await pool.acquire(0.0)
+    channel.send(b"GET / HTTP/1.1\r\n\r\n", lambda head: True)
+    try:
+        await channel.read_head()
+        return await channel.read_body()
+    except BrokenError as error:
+        return error
+    finally:
+        pool.release(channel, 0.0)
+        pool.close()
+
+
+async def test_endless_bodies_from_many_peers_share_the_memory_of_the_host():
+    """Guards against the end of a host when many upstreams are in trouble at once.
+
+    A sound response beside them is served.
+    """
+    memory = MemoryBudget(8 * MIB)
+    endless = EndlessCase("body", HEAD + b"\r\n", b"x" * 64)
+    sound = EndlessCase("sound", HEAD + b"Content-Length: 65536\r\n\r\n", b"x" * 65_536)
+    tracemalloc.start()
+    async with contextlib.AsyncExitStack() as stack:
+        servers = [
+            await stack.enter_async_context(EndlessServer(endless)) for _ in range(10)
+        ]
+        reads = [
+            asyncio.create_task(read_with(memory, server.port)) for server in servers
+        ]
+        while memory.total_bytes < 4 * MIB:
+            await asyncio.sleep(0.001)
+        server = await stack.enter_async_context(EndlessServer(sound, 65_536))
+        assert await read_with(memory, server.port) == b"x" * 65_536
+        results = await asyncio.gather(*reads)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert all(isinstance(result, BrokenError) for result in results)
+    assert memory.total_bytes == 0
+    assert peak_bytes < MAX_MEMORY_BYTES
+
+
+async def test_body_of_a_failed_response_is_freed_at_once():
+    """Guards against memory that only the garbage collection of cycles frees.
+
+    The kept error had the frame of the read in its traceback, so a host grew with each
+    failed body until it was ended, although the bodies were bounded.
+    """
+    case = EndlessCase("body", HEAD + b"\r\n", b"x" * 64)
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        async with EndlessServer(case, 4 * MIB) as server:
+            before, _ = tracemalloc.get_traced_memory()
+            result = await read_with(MemoryBudget(2 * MIB), server.port)
+            assert isinstance(result, BrokenError)
+        after, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert peak - before > 2 * MIB
+    assert after - before < MIB
+
+
+async def test_body_given_up_after_its_end_arrived_is_no_complete_response():
+    """Guards against a truncated body that looks complete."""
+    memory = MemoryBudget(4 * MIB)
+    channel = Channel(memory=memory)
+    channel._transport = mock.Mock(is_closing=lambda: False)
+    channel.send(b"GET / HTTP/1.1\r\n\r\n", lambda head: True)
+    channel.data_received(HEAD + b"Content-Length: 8\r\n\r\nabcd")
+    reading = asyncio.create_task(channel.read_body())
+    await asyncio.sleep(0)
+    channel.data_received(b"efgh")
+    memory.add("other", 4 * MIB - 1, lambda: None)
+    memory.add("other", 1, lambda: None)
+    channel._give_up_body()
+    with pytest.raises(BrokenError):
+        await reading
+
+
+async def test_body_of_a_declared_length_over_the_bound_is_not_read():
+    """Guards against memory for a body that is sure to be dropped."""
+    case = EndlessCase(
+        "declared", HEAD + b"Content-Length: 99999999\r\n\r\n", b"x" * 64
+    )
+    async with EndlessServer(case) as server:
+        with pytest.raises(BrokenError):
+            await read_response(server.port, True)
+    assert server.sent_bytes < 4 * MIB
+
+
+@given(
+    steps=st.lists(
+        st.tuples(st.integers(0, 5), st.integers(0, 400), st.booleans()), max_size=60
+    )
+)
+@settings(derandomize=True)
+def test_budget_counts_what_is_kept(steps):
+    budget, sizes = MemoryBudget(1_000), {}
+    for owner, size, is_released in steps:
+        sizes[owner] = sizes.get(owner, 0) + size
+        budget.add(owner, size, lambda owner=owner: sizes.pop(owner))
+        if is_released:
+            budget.release(owner)
+            sizes.pop(owner, None)
+        assert budget.total_bytes == sum(sizes.values()) <= 1_000
+
+
 async def test_overhead_of_small_chunks_is_accepted():
     """A body in chunks of one byte has more framing than body."""
     body = b"1\r\nx\r\n" * MAX_OVERHEAD_BYTES + b"0\r\n\r\n"
