Bound the bodies and unread responses of all callers together

Callers with large bodies, unfinished or many at once, or that do not read their responses could take a host's memory, and with it all requests.

Cause: each connection had bounds (4 MiB a body by the limits, 2 MiB unread), their sums had none.

Bodies that are being read share 32 MiB, those that are handled 64 MiB, and responses that wait 64 MiB. The largest unfinished request gets 503 with Retry-After, which is true as it was not passed on; small requests are always taken.

--- a/libs/gateway/src/waxwingbarrow/gateway/_callers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_callers.py
@@ -10,6 +10,7 @@
 
 from waxwingbarrow.gateway._decoding import parse_decimal
 from waxwingbarrow.gateway._http_heads import write_response_head
+from waxwingbarrow.gateway._memory_budget import MemoryBudget
 from waxwingbarrow.gateway._model import Call, CallerLimits, Headers
 
 logger = logging.getLogger("waxwingbarrow.gateway.callers")
@@ -20,6 +21,15 @@
 # this pile up in memory.
 MAX_WRITE_BUFFER_BYTES = 2_097_152
 TIMEOUT_CHECK_INTERVAL_S = 0.25
+# Responses of all callers that wait to be read.
+MAX_UNREAD_BYTES = 67_108_864
+# Bodies of all requests that are being read, and of those that are being handled.
+MAX_INCOMING_BYTES = 33_554_432
+MAX_HANDLED_BYTES = 67_108_864
+# Requests with a body of up to this size are handled whatever the others need.
+SMALL_BODY_BYTES = 16_384
+# Time after which a caller that was refused for lack of memory may come back.
+RETRY_AFTER_MEMORY_S = b"0.5"
 
 
 class Responder:
@@ -112,6 +122,8 @@
         self._queued: deque[tuple[Call, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._closing = False
+        # Bodies of the requests that are handled or queued.
+        self._handled_bytes = 0
         self._reset_message()
         self.idle_since_ms = 0
         self.head_since_ms: int | None = None
@@ -143,6 +155,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        self._server.incoming.release(self)
         self._closing = True
         self._queued.clear()
         if self._task is not None:
@@ -172,14 +185,24 @@
                     self._reject(413, "the declared body is too large")
 
     def on_body(self, body: bytes) -> None:
+        if self._closing:
+            return
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > self._server.limits().max_body_bytes:
             self._reject(413, "the body is too large")
+        else:
+            self._server.incoming.add(self, len(body), self._give_up_request)
 
     def on_message_complete(self) -> None:
         if self._closing:
             return
+        self._server.incoming.release(self)
+        if not self._server.can_handle(self._body_bytes):
+            self._reject(503, "the bodies of all requests need too much memory")
+            return
+        self._handled_bytes += self._body_bytes
+        self._server.handled_bytes += self._body_bytes
         call = Call(
             self._parser.get_method(),
             self._target,
@@ -207,6 +230,11 @@
         """Whether no request is being read or handled."""
         return self._task is None and self.head_since_ms is None and not self._in_body
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of responses that wait until the caller reads."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     def write(self, data: bytes) -> None:
         """Write bytes unless the connection is gone."""
         transport = self._transport
@@ -262,10 +290,17 @@
         self._closing = True
         if self._task is None:
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            if status == 503:
+                headers.append((b"Retry-After", RETRY_AFTER_MEMORY_S))
             self.write(write_response_head(status, b"", headers))
             if self._transport is not None:
                 self._transport.close()
 
+    def _give_up_request(self) -> None:
+        """Refuse the request that is being read, to free the memory of its body."""
+        self._body.clear()
+        self._reject(503, "the bodies of all requests need too much memory")
+
     def _start_next(self) -> None:
         call, keep_alive = self._queued.popleft()
         responder = Responder(self, keep_alive)
@@ -289,7 +324,11 @@
     def _finish_request(self) -> None:
         transport = self._transport
         self.idle_since_ms = self._server.now_ms()
-        if self._closing or transport is None or transport.is_closing():
+        is_ended = self._closing or transport is None or transport.is_closing()
+        if is_ended or not self._queued:
+            self._server.handled_bytes -= self._handled_bytes
+            self._handled_bytes = 0
+        if is_ended or transport is None:
             if transport is not None:
                 transport.close()
             return
@@ -309,6 +348,13 @@
         Returns the limits in force.
     now_ms : callable
         Returns the monotonic time in milliseconds.
+
+    Attributes
+    ----------
+    incoming : MemoryBudget
+        Memory for the bodies of requests that are being read.
+    handled_bytes : int
+        Size of the bodies of requests that are being handled or queued.
     """
 
     def __init__(
@@ -322,6 +368,8 @@
         self.now_ms = now_ms
         self.connections: set[CallerConnection] = set()
         self.is_closing = False
+        self.incoming = MemoryBudget(MAX_INCOMING_BYTES)
+        self.handled_bytes = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int, backlog: int = 1024) -> None:
@@ -342,6 +390,7 @@
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
             self.close_expired(self.now_ms())
+            self.abort_unread()
 
     def close_expired(self, now_ms: int) -> None:
         """Apply the idle and header timeouts once."""
@@ -355,6 +404,29 @@
                 if idle_ms > limits.idle_timeout_ms:
                     connection.close_after_flush()
 
+    def abort_unread(self) -> None:
+        """Abort the callers that leave most unread, while that is too much in all."""
+        by_size = sorted(
+            ((item.unread_bytes, item) for item in self.connections),
+            key=lambda pair: pair[0],
+        )
+        total_bytes = sum(size_bytes for size_bytes, _ in by_size)
+        while total_bytes > MAX_UNREAD_BYTES:
+            size_bytes, connection = by_size.pop()
+            total_bytes -= size_bytes
+            logger.warning(
+                "caller does not read its response; connection aborted",
+                extra={"unread_bytes": size_bytes},
+            )
+            connection.abort()
+
+    def can_handle(self, body_bytes: int) -> bool:
+        """Whether there is memory for a request with a body of this size."""
+        return (
+            body_bytes <= SMALL_BODY_BYTES
+            or self.handled_bytes + body_bytes <= MAX_HANDLED_BYTES
+        )
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self.connections):
