Refuse at once what would not end before a planned stop, and answer the rest

Callers saw requests that came late in the grace time passed on and cut at its end, among them requests that may not be repeated.

Cause: new requests on open connections were served until a fixed 3 s after the signal, whatever they needed; the process then exited with what was left.

A request is refused if by the durations of its route it would not end before the process does, before each attempt. What is accepted times out 0.2 s before the exit. Ruled out: a shorter fixed time, which refuses bookings of 25 ms for the sake of long streams.

--- a/libs/gateway/src/waxwingbarrow/gateway/_callers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_callers.py
@@ -121,6 +121,7 @@
         self._parser: Any = None
         self._queued: deque[tuple[Call, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._responder: Responder | None = None
         self._closing = False
         # Bodies of the requests that are handled or queued.
         self._handled_bytes = 0
@@ -303,7 +304,7 @@
 
     def _start_next(self) -> None:
         call, keep_alive = self._queued.popleft()
-        responder = Responder(self, keep_alive)
+        responder = self._responder = Responder(self, keep_alive)
         self._task = asyncio.get_running_loop().create_task(
             self._handle(call, responder)
         )
@@ -321,6 +322,17 @@
                 responder.abort()
             self._finish_request()
 
+    def end_request(self) -> None:
+        """Answer the request that is being handled as timed out, if none has begun.
+
+        A response that has begun is broken off, so that it does not look complete.
+        """
+        if self._task is None or self._responder is None:
+            return
+        if not (self._responder.started or self._responder.ended):
+            self._responder.send(504, b"", [], b"the host is shutting down\n")
+        self._task.cancel()
+
     def _finish_request(self) -> None:
         transport = self._transport
         self.idle_since_ms = self._server.now_ms()
@@ -433,6 +445,11 @@
             if connection.is_idle:
                 connection.close_after_flush()
 
+    def end_requests(self) -> None:
+        """End the requests that are being handled, before the process ends."""
+        for connection in list(self.connections):
+            connection.end_request()
+
     def count_busy(self) -> int:
         """Return the number of connections with a request."""
         return sum(not connection.is_idle for connection in self.connections)
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
@@ -625,6 +625,10 @@
         trace = plan.trace
         elapsed_ms = now.mono_ms - plan.call.received_ms
         self._metrics.observe_request(trace.route, trace.account, outcome, elapsed_ms)
+        if outcome == "answered 200":
+            self._planner.stop_check.durations.record(
+                plan.route.name, plan.output_size, elapsed_ms
+            )
         logger.info(
             "request ended",
             extra={
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -69,8 +69,9 @@
 # The load balancer removes a host after two failed probes one second apart; until then
 # callers still open connections.
 LISTEN_AFTER_STOP_S = 2.5
-# New requests on open connections are served for this long after the stop signal.
-SERVE_AFTER_STOP_S = 3.0
+# Requests are timed out this long before the process exits, so that their callers get
+# an answer.
+ANSWER_MARGIN_MS = 200
 # The process exits this long before the end of `grace_s`, when it would be killed.
 STOP_MARGIN_S = 0.6
 RETRY_INTERVAL_S = 0.5
@@ -555,17 +556,20 @@
         )
         self._callers.is_closing = True
         stop_ms = self._clock.now_ms()
+        end_ms = stop_ms + int((self._settings.bounds.grace_s - STOP_MARGIN_S) * 1000)
+        ends_at = self._clock.now().plus_ms(end_ms - stop_ms - ANSWER_MARGIN_MS)
+        self._planner.stop_check.ends_at = ends_at
         self._supervisor.spawn("leave", self._duty_runner.stop)
-        end_ms = (self._settings.bounds.grace_s - STOP_MARGIN_S) * 1000
-        while (elapsed_ms := self._clock.now_ms() - stop_ms) < end_ms:
+        while self._clock.now_ms() < end_ms:
             await asyncio.sleep(0.1)
-            if elapsed_ms > LISTEN_AFTER_STOP_S * 1000:
+            if self._clock.now_ms() - stop_ms > LISTEN_AFTER_STOP_S * 1000:
                 self._callers.stop_listening()
                 self._callers.close_idle()
                 if self._callers.count_busy() == 0:
                     break
-            if elapsed_ms > SERVE_AFTER_STOP_S * 1000:
-                self._planner.refuse_all = True
+        self._callers.end_requests()
+        # Lets the event loop write the last responses.
+        await asyncio.sleep(0)
 
     async def _close(self) -> None:
         busy = self._callers.count_busy()
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_planner.py
@@ -4,16 +4,21 @@
 from collections.abc import Callable, Iterable
 
 import attrs
-import xxhash
 from result import Err
 
 from waxwingbarrow.core import Instant, ServiceName, UpstreamId
 from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
+from waxwingbarrow.gateway._durations import StopCheck
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._messages import PlacementQuery
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Engine, Route
 from waxwingbarrow.gateway._permits import Permits
-from waxwingbarrow.gateway._plans import Plan, Refused, RequestTrace
+from waxwingbarrow.gateway._plans import (
+    Plan,
+    Refused,
+    RequestTrace,
+    make_fingerprints,
+)
 from waxwingbarrow.gateway._ports import Codec
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._quotas import Quotas
@@ -58,8 +63,8 @@
     ----------
     table : RouteTable or None
         Routes of the configuration in force; None before the first one is known.
-    refuse_all : bool
-        Whether all requests are refused, because the process is about to end.
+    stop_check : StopCheck
+        Refuses the requests that would not end before the process does.
     """
 
     def __init__(
@@ -88,14 +93,12 @@
         self._measure_upstreams_age_ms = measure_upstreams_age_ms
         self._permits = permits
         self.table: RouteTable | None = None
-        self.refuse_all = False
+        self.stop_check = StopCheck()
 
     def plan(self, call: Call, now: Instant) -> Plan | Refused:
         """Resolve the route and account of a request, or refuse it before it runs."""
         if self.table is None:
             return Refused(503, "no configuration", RETRY_AFTER_NOT_READY_S)
-        if self.refuse_all:
-            return Refused(503, "shutting down", 0.05)
         read = self._codec.read_call(call)
         if isinstance(read, Err):
             return Refused(400, read.err_value.reason)
@@ -142,7 +145,7 @@
             config_version=self.table.configuration.version,
         )
         received = now.plus_ms(call.received_ms - now.mono_ms)
-        return Plan(
+        plan = Plan(
             call,
             metadata,
             route,
@@ -152,6 +155,7 @@
             fingerprints,
             trace,
         )
+        return self.stop_check.check(plan, now) or plan
 
     def _check_suspicion(
         self, fingerprints: Fingerprints, now: Instant
@@ -243,6 +247,7 @@
         Upstreams that the request was already sent to are not chosen again.
         """
         refused = self._check_suspicion(plan.fingerprints, now)
+        refused = refused or self.stop_check.check(plan, now)
         if refused is not None:
             return refused
         metadata = plan.metadata
@@ -397,17 +402,3 @@
     def pick_service(self, plan: Plan) -> ServiceName:
         """Choose the service of a request; see `pick_service`."""
         return pick_service(plan.route, plan.metadata.request_id)
-
-
-def make_fingerprints(
-    call: Call, account: str, service: ServiceName, metadata: CallMetadata
-) -> Fingerprints:
-    """Return what identifies a request among those that crash upstreams.
-
-    The last part of a prompt belongs to the request or its session, so it is left out.
-    """
-    digest = xxhash.xxh3_64(call.body)
-    digest.update(call.target)
-    digest.update(account.encode())
-    parts = tuple(f"{service}/{part.part:x}" for part in metadata.parts[:-1])
-    return Fingerprints(digest.hexdigest(), parts)
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_plans.py
@@ -1,8 +1,9 @@
 """State of a request while it is served, and the gateway's own refusals."""
 
 import attrs
+import xxhash
 
-from waxwingbarrow.core import Instant, UpstreamId
+from waxwingbarrow.core import Instant, ServiceName, UpstreamId
 from waxwingbarrow.gateway._crash_tracker import Fingerprints
 from waxwingbarrow.gateway._messages import PlacementAdvice
 from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Route
@@ -109,6 +110,11 @@
     moves: int = 0
     tried_upstreams: set[UpstreamId] = attrs.Factory(set)
 
+    @property
+    def output_size(self) -> int:
+        """Output tokens that the request allows; 1 for requests without tokens."""
+        return max(self.metadata.max_output_tokens, 1)
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether the route allows one more attempt."""
@@ -135,3 +141,17 @@
     reason: str
     retry_after_s: float | None = None
     inputs: dict[str, object] = attrs.Factory(dict)
+
+
+def make_fingerprints(
+    call: Call, account: str, service: ServiceName, metadata: CallMetadata
+) -> Fingerprints:
+    """Return what identifies a request among those that crash upstreams.
+
+    The last part of a prompt belongs to the request or its session, so it is left out.
+    """
+    digest = xxhash.xxh3_64(call.body)
+    digest.update(call.target)
+    digest.update(account.encode())
+    parts = tuple(f"{service}/{part.part:x}" for part in metadata.parts[:-1])
+    return Fingerprints(digest.hexdigest(), parts)
