--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import functools
 import hashlib
 import logging
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import msgspec
@@ -377,13 +378,31 @@
         return addresses
 
     async def _listen(self) -> None:
-        for server, (host, port) in self._internal_servers:
-            await server.start(host, port)
-        await self._callers.start(*split_address(self._settings.caller_address))
+        """Listen on all addresses, and wait for those that are still in use.
+
+        The process before may hold a port for a moment after it was replaced.
+        """
+        starts: list[Callable[[], Awaitable[object]]] = [
+            functools.partial(server.start, *address)
+            for server, address in self._internal_servers
+        ]
+        caller_address = split_address(self._settings.caller_address)
+        starts.append(functools.partial(self._callers.start, *caller_address))
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self._peer_protocol, (self._settings.ip, self._settings.peer_port)
+        peer_address = (self._settings.ip, self._settings.peer_port)
+        starts.append(
+            lambda: loop.create_datagram_endpoint(
+                lambda: self._peer_protocol, peer_address
+            )
         )
+        for start in starts:
+            while not self._stopping.is_set():
+                try:
+                    await start()
+                    break
+                except OSError as error:
+                    logger.warning("address not free", extra={"error": repr(error)})
+                    await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _register(self) -> None:
         """Register this host in the store, then follow the list of hosts."""
