Follow the upstreams without a relay, and forget hosts that have ended

Callers lost requests at upstreams that had been leaving for seconds, when the gateways had started after many other hosts were replaced.

Cause: registrations of ended hosts stay in the store. A host with 14 known hosts follows the upstreams through a relay, went round among the first four ended ones for ever, and did not read the store itself.

A host without a total for a second reads the upstreams from the store. Hosts that were never heard and chosen in vain twice come last. Registrations of hosts that were silent for 60 s are removed by the host that they send to; one that finds its own removed writes it again. Ruled out: removal alone, which takes a minute. Open: a data centre all of whose hosts have ended.

--- a/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
@@ -239,6 +239,8 @@
         for record in change.changed:
             with self._log_failure(record.key):
                 self._apply_host(record, now)
+        for key in change.removed:
+            self._members.forget_absent(HostId(key), now)
 
     def _apply_host(self, record: KeyedRecord, now: Instant) -> None:
         read = read_host(record.value)
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -77,6 +77,8 @@
 STOP_MARGIN_S = 0.6
 RETRY_INTERVAL_S = 0.5
 SETTINGS_CHECK_INTERVAL_S = 2.0
+# Longer than the interval at which the list of hosts is read.
+REGISTRATION_CHECK_INTERVAL_S = 35.0
 
 
 class Gateway:
@@ -282,7 +284,7 @@
             self._store_health,
             clock,
             self._change_applier.apply_change,
-            self._is_relay,
+            self._reads_upstreams,
             lambda: self._peer_protocol.find_operator_wait_ms(clock.now()),
         )
         ttl_ms = max(MEMBER_TTL_MS, settings.store.min_ttl_ms)
@@ -406,32 +408,54 @@
 
     async def _register(self) -> None:
         """Register this host in the store, then follow the list of hosts."""
+        while not await self._write_registration():
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        await self._follower.follow_hosts()
+
+    async def _write_registration(self) -> bool:
+        """Write the registration of this host; return whether the store took it."""
         settings = self._settings
-        value = msgspec.json.encode(
-            HostRegistration(
-                ip=settings.ip,
-                port=settings.peer_port,
-                data_centre=settings.data_centre,
-                started_ms=self._started_at.wall_ms,
-                relay_mbps=self._relay_mbps,
-            )
+        registration = HostRegistration(
+            ip=settings.ip,
+            port=settings.peer_port,
+            data_centre=settings.data_centre,
+            started_ms=self._started_at.wall_ms,
+            relay_mbps=self._relay_mbps,
         )
-        while True:
-            written = await self._store.write_keyed(
-                Topic.HOSTS, settings.host_id, value
-            )
-            if not isinstance(written, Err):
-                break
+        value = msgspec.json.encode(registration)
+        return await self._write_host(settings.host_id, value)
+
+    async def _write_host(self, host: str, value: bytes) -> bool:
+        written = await self._store.write_keyed(Topic.HOSTS, host, value)
+        if isinstance(written, Err):
+            reason = describe_failure(written.err_value)
             logger.warning(
-                "host not registered",
-                extra={"reason": describe_failure(written.err_value)},
+                "host not registered", extra={"registered": host, "reason": reason}
             )
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        await self._follower.follow_hosts()
+            return False
+        return True
+
+    async def _maintain_registrations(self) -> None:
+        """Remove the registrations of hosts that have ended, and keep the own one.
+
+        Another host may remove the one of this host while a network partition lasts.
+        """
+        while True:
+            await asyncio.sleep(REGISTRATION_CHECK_INTERVAL_S)
+            now = self._clock.now()
+            hosts = self._replicas[Topic.HOSTS]
+            registered = [HostId(host) for host in hosts.records]
+            for host in self._peer_protocol.list_removable(registered, now):
+                if await self._write_host(host, b""):
+                    logger.info("host removed", extra={"removed": host})
+                    self._members.forget_absent(host, now)
+            if registered and HostId(self._settings.host_id) not in registered:
+                await self._write_registration()
 
     def _start_background_tasks(self) -> None:
         tasks: dict[str, TaskStart] = {
             "hosts": self._register,
+            "registrations": self._maintain_registrations,
             "operator": self._follower.follow_operator,
             "upstreams": self._follower.follow_upstreams,
             "status": self._follow_status,
@@ -538,8 +562,8 @@
 
     # Callbacks of other components
 
-    def _is_relay(self) -> bool:
-        return self._peer_protocol.is_relay(self._clock.now())
+    def _reads_upstreams(self) -> bool:
+        return self._peer_protocol.needs_registrations(self._clock.now())
 
     def _is_candidate(self) -> bool:
         return self._peer_protocol.is_candidate(self._clock.now())
--- a/libs/gateway/src/waxwingbarrow/gateway/_members.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_members.py
@@ -139,13 +139,22 @@
         """Return the data centres of the known hosts."""
         return sorted({member.data_centre for member in self._members.values()})
 
-    def list_targets(self, now: Instant) -> list[Member]:
-        """Forget hosts that were silent for too long, and return the others."""
-        for host in [
-            member.host
+    def list_silent(self, now: Instant) -> list[Member]:
+        """Return the hosts that were silent for longer than `FORGET_TIMEOUT_MS`."""
+        return [
+            member
             for member in self._members.values()
             if now.mono_ms - (member.last_heard_ms or member.added_ms)
             > FORGET_TIMEOUT_MS
-        ]:
-            del self._members[host]
+        ]
+
+    def list_targets(self, now: Instant) -> list[Member]:
+        """Forget hosts that were silent for too long, and return the others."""
+        for member in self.list_silent(now):
+            del self._members[member.host]
         return list(self._members.values())
+
+    def forget_absent(self, host: HostId, now: Instant) -> None:
+        """Forget a host whose registration was removed, unless it was just heard."""
+        if host not in {member.host for member in self.list_present(now)}:
+            self._members.pop(host, None)
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_peers.py
@@ -4,7 +4,7 @@
 import functools
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -15,7 +15,12 @@
 from waxwingbarrow.gateway._decoding import is_ip_address
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._fragments import Fragmenter, Reassembler
-from waxwingbarrow.gateway._members import LIMIT_SHARE_TIMEOUT_MS, Member, Members
+from waxwingbarrow.gateway._members import (
+    FORGET_TIMEOUT_MS,
+    LIMIT_SHARE_TIMEOUT_MS,
+    Member,
+    Members,
+)
 from waxwingbarrow.gateway._messages import (
     AttemptReport,
     Heartbeat,
@@ -75,6 +80,9 @@
 MAX_DEPUTIES = 2
 # Hosts that are asked for a permit at the most.
 MAX_PERMIT_KEEPERS = 2
+# Totals arrive several times a second; without one for this long, a host reads what its
+# relay would have told it.
+TOTAL_MISSING_MS = 1_000
 # The relay is chosen among the hosts that the newest total lists, unless that total is
 # older than this.
 MEMBER_LIST_MAX_AGE_MS = 10_000
@@ -152,6 +160,8 @@
         # Holder in the last sums that were sent to the other relays.
         self._sent_holder: tuple[int, str] | None = None
         self._is_relay = False
+        # Monotonic time since which this host has been a relay.
+        self._relay_since_ms: int | None = None
         self._candidacy = Candidacy(clock.now())
         self._operator_coverage = OperatorCoverage()
 
@@ -217,6 +227,45 @@
         """Whether this host acts as a relay; in a full mesh each host does."""
         return self.is_full_mesh(now) or self._is_relay
 
+    def needs_registrations(self, now: Instant) -> bool:
+        """Whether this host reads the upstreams from the store itself.
+
+        Relays do, and hosts that hear of no relay's copy.
+        """
+        if self.is_relay(now) or self._last_total is None:
+            return True
+        return now.mono_ms - self._last_total[1] > TOTAL_MISSING_MS
+
+    def list_removable(
+        self, registered: Iterable[HostId], now: Instant
+    ) -> list[HostId]:
+        """Return the registered hosts whose registrations this host is to remove.
+
+        They were silent although they send to this host: in a full mesh that is the
+        first in rank of the hosts that are present, with relays the relay of their data
+        centre.
+        """
+        silent = {member.host for member in self._members.list_silent(now)}
+        if self.is_full_mesh(now):
+            present = [member.host for member in self._members.list_present(now)]
+            ranked = rank_relays(
+                [self._own.host, *present], self._directory.find_relay_mbps
+            )
+            if ranked[0] != self._own.host:
+                return []
+            # Hosts that were silent for as long are no longer known.
+            return [
+                host
+                for host in registered
+                if host != self._own.host
+                and (host in silent or self._members.find(host) is None)
+            ]
+        since_ms = self._relay_since_ms
+        if since_ms is None or now.mono_ms - since_ms < FORGET_TIMEOUT_MS:
+            return []
+        own_centre = set(self._members.list_hosts_in(self._own.data_centre))
+        return [host for host in registered if host in silent & own_centre]
+
     def find_operator_wait_ms(self, now: Instant) -> int | None:
         """Return how long a read of the operator's topic may wait for a change.
 
@@ -462,6 +511,10 @@
                 "relay changed",
                 extra={"relay": relay, "is_own": acts_as_relay},
             )
+        if not acts_as_relay:
+            self._relay_since_ms = None
+        elif self._relay_since_ms is None:
+            self._relay_since_ms = now.mono_ms
         self._is_relay = acts_as_relay
         self._candidacy.note_relay(acts_as_relay, now)
         if acts_as_relay:
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_relays.py
@@ -12,6 +12,7 @@
 over to it.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
@@ -31,6 +32,8 @@
 # `RELAY_RETRY_MS`.
 RELAY_TIMEOUT_MS = 1_600
 RELAY_RETRY_MS = 5_000
+# Times that a host which was never heard is chosen before the others go first.
+MAX_SILENCES = 2
 # A relay of the own data centre counts as running for this long after its last message.
 RELAY_HEARD_MS = 2_500
 # Messages older than this are left out of the sums.
@@ -94,6 +97,10 @@
         self._own = own
         self._find_relay_mbps = find_relay_mbps
         self._excluded_until_ms: dict[HostId, int] = {}
+        # Hosts that were chosen in vain twice and never heard come after all others, so
+        # that those that run are reached however many registered hosts have ended.
+        self._heard: set[HostId] = set()
+        self._silences: Counter[HostId] = Counter()
         self._heard_ms: dict[HostId, int] = {}
         self._current: HostId | None = None
         self._last_heard_ms = 0
@@ -113,7 +120,9 @@
             if now.mono_ms - heard_ms < RELAY_HEARD_MS
         }
         possible = {*hosts, *self._heard_ms, self._own}
-        for host in rank_relays(possible, self._find_relay_mbps):
+        ranked = rank_relays(possible, self._find_relay_mbps)
+        ranked.sort(key=lambda host: self._silences[host] >= MAX_SILENCES)
+        for host in ranked:
             if host == self._own or self._excluded_until_ms.get(host, 0) <= now.mono_ms:
                 if host != self._current:
                     self._current = host
@@ -124,6 +133,8 @@
     def record_heard(self, relay: HostId, now: Instant) -> None:
         """Record that a message of a relay arrived, and make it eligible again."""
         self._excluded_until_ms.pop(relay, None)
+        self._heard.add(relay)
+        self._silences.pop(relay, None)
         self._heard_ms[relay] = now.mono_ms
         if relay == self._current:
             self._last_heard_ms = now.mono_ms
@@ -135,6 +146,8 @@
             return None
         if now.mono_ms - self._last_heard_ms < RELAY_TIMEOUT_MS:
             return None
+        if current not in self._heard:
+            self._silences[current] += 1
         self._excluded_until_ms[current] = now.mono_ms + RELAY_RETRY_MS
         self._heard_ms.pop(current, None)
         self._current = None
