Take JSON that is nested too deep for unreadable in the daemon too

The daemon read responses of the platform, entries of other hosts, load reports, events and bodies of calls with json.loads, which raises RecursionError for deep nesting; only ValueError counted as unreadable. In a background task this ends the daemon.

One function in core parses JSON now. Open: a background task of the daemon that fails for another reason still ends it.

--- a/libs/core/src/waxwingbarrow/core/_reading.py
+++ b/libs/core/src/waxwingbarrow/core/_reading.py
@@ -104,6 +104,28 @@
     return validate
 
 
+def parse_json(text: str | bytes) -> Any:
+    """Parse a JSON text of another process.
+
+    Raises
+    ------
+    ValueError
+        The text is not JSON, or nested too deep for the parser.
+
+    Examples
+    --------
+    >>> parse_json("[1]")
+    [1]
+    >>> parse_json("[" * 100_000)
+    Traceback (most recent call last):
+    ValueError: nested too deep
+    """
+    try:
+        return json.loads(text)
+    except RecursionError:
+        raise ValueError("nested too deep") from None
+
+
 def read_json(text: str, kind: type[T], source: str) -> Result[T, FieldInvalid]:
     """Convert a JSON text to an object of an attrs class.
 
@@ -125,8 +147,8 @@
         The object, or the first invalid field.
     """
     try:
-        data = json.loads(text)
-    except (ValueError, RecursionError) as error:
+        data = parse_json(text)
+    except ValueError as error:
         allowed = f"valid JSON ({error})"
         value = _truncate(text)
         return Err(FieldInvalid(source=source, field="", value=value, allowed=allowed))
--- a/libs/daemon/src/waxwingbarrow/daemon/_control.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_control.py
@@ -22,6 +22,7 @@
     OutcomeUnknown,
     Refusal,
     ServiceName,
+    parse_json,
 )
 from waxwingbarrow.daemon._logs import get_logger
 from waxwingbarrow.document import ServiceDocument, read_document
@@ -318,7 +319,7 @@
         parsed = []
         for entry in entries:
             try:
-                data = json.loads(entry.record)
+                data = parse_json(entry.record)
             except ValueError:
                 logger.warning("A peer sent an unreadable record.")
                 break
--- a/libs/daemon/src/waxwingbarrow/daemon/_requests.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_requests.py
@@ -1,6 +1,5 @@
 """Validation of headers and bodies of callers' requests."""
 
-import json
 import uuid
 from collections.abc import Mapping
 from typing import Any
@@ -20,6 +19,7 @@
     ServiceName,
     UnknownRoute,
     in_range,
+    parse_json,
     read_json,
 )
 from waxwingbarrow.daemon._accounts import find_account
@@ -160,7 +160,7 @@
 def check_json(body: bytes) -> Result[None, InvalidRequest]:
     """Check that the body of a call to a plain service is JSON."""
     try:
-        json.loads(body)
+        parse_json(body)
     except ValueError as error:
         return Err(InvalidRequest(reason=f"The body is not JSON: {error}."))
     return Ok(None)
--- a/libs/daemon/src/waxwingbarrow/daemon/_settings.py
+++ b/libs/daemon/src/waxwingbarrow/daemon/_settings.py
@@ -15,6 +15,7 @@
     in_range,
     matches,
     not_empty,
+    parse_json,
     read_data,
 )
 
@@ -245,7 +246,7 @@
     except (OSError, UnicodeDecodeError) as error:
         return Err(_invalid(path, "", "unreadable", f"a readable file ({error})"))
     try:
-        data = json.loads(text)
+        data = parse_json(text)
     except ValueError as error:
         return Err(_invalid(path, "", "not JSON", f"valid JSON ({error})"))
     if not isinstance(data, dict):
--- a/libs/platform/src/waxwingbarrow/platform/_http.py
+++ b/libs/platform/src/waxwingbarrow/platform/_http.py
@@ -16,7 +16,7 @@
 from aiosonic.timeout import Timeouts
 from result import Err, Ok, Result
 
-from waxwingbarrow.core import Failure
+from waxwingbarrow.core import Failure, parse_json
 
 # Servers commonly close idle connections after 5 s (uvicorn's default); a request that
 # is written while the server closes is lost without a response.
@@ -59,7 +59,7 @@
     def read_json_object(self) -> dict[str, Any] | None:
         """Return the body parsed as a JSON object, or None if it is not one."""
         try:
-            data = json.loads(self.body)
+            data = parse_json(self.body)
         except ValueError:
             return None
         return data if isinstance(data, dict) else None
--- a/libs/upstreams/src/waxwingbarrow/upstreams/_events.py
+++ b/libs/upstreams/src/waxwingbarrow/upstreams/_events.py
@@ -1,11 +1,11 @@
 """Events of a model engine's streamed answer and their wire format."""
 
-import json
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
+from waxwingbarrow.core import parse_json
 from waxwingbarrow.upstreams._load import LoadReport, read_known
 
 MAX_EVENT_BYTES = 1 << 20
@@ -146,7 +146,7 @@
     if name not in _READERS:
         return None
     try:
-        data = json.loads(text)
+        data = parse_json(text)
         if not isinstance(data, dict):
             raise TypeError(name)
         return _READERS[name](data)
--- a/libs/upstreams/src/waxwingbarrow/upstreams/_load.py
+++ b/libs/upstreams/src/waxwingbarrow/upstreams/_load.py
@@ -1,12 +1,11 @@
 """Load reports in the answers of upstreams."""
 
-import json
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
 import attrs
 
-from waxwingbarrow.core import read_data
+from waxwingbarrow.core import parse_json, read_data
 
 T = TypeVar("T")
 
@@ -52,7 +51,7 @@
 def read_load_header(headers: Mapping[str, str]) -> LoadReport | None:
     """Read the ``Upstream-Load`` header; a malformed header counts as absent."""
     try:
-        data = json.loads(headers.get("upstream-load", ""))
+        data = parse_json(headers.get("upstream-load", ""))
     except ValueError:
         return None
     return read_known(data, LoadReport, "Upstream-Load")
