--- a/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
@@ -4,16 +4,9 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-import msgspec
-from result import Err, Result
+from result import Err
 
 from waxwingbarrow.core import Clock, DataCentre, HostId, Instant, UpstreamId
-from waxwingbarrow.gateway._decoding import (
-    MAX_PORT,
-    BoundedInt,
-    decode_json,
-    is_ip_address,
-)
 from waxwingbarrow.gateway._fleet import Fleet
 from waxwingbarrow.gateway._follower import StoreHealth
 from waxwingbarrow.gateway._members import Members
@@ -23,9 +16,9 @@
     KeyedPage,
     KeyedRecord,
     Topic,
-    Unreadable,
 )
 from waxwingbarrow.gateway._quotas import Quotas
+from waxwingbarrow.gateway._registrations import read_host
 from waxwingbarrow.gateway._replica import Change, Replica
 from waxwingbarrow.gateway._rollouts import Rollouts
 from waxwingbarrow.gateway._routes import RouteTable
@@ -41,37 +34,6 @@
 UPSTREAMS_STALE_MS = 1_600
 
 
-class HostRegistration(msgspec.Struct, frozen=True):
-    """Registration of a host in the store.
-
-    Parameters
-    ----------
-    port : int
-        Port for messages between hosts.
-    started_ms : int
-        Wall time of the start of its process.
-    relay_mbps : int
-        Rate in Mbit/s at which it can relay; see `compute_relay_mbps`.
-    """
-
-    ip: str
-    port: BoundedInt
-    data_centre: str
-    started_ms: BoundedInt
-    relay_mbps: BoundedInt = msgspec.field(name="strength", default=0)
-
-
-def read_host(value: bytes) -> Result[HostRegistration, Unreadable]:
-    """Decode the registration of a host."""
-    decoded = decode_json(value, HostRegistration)
-    if isinstance(decoded, Err):
-        return decoded
-    host = decoded.ok_value
-    if not is_ip_address(host.ip) or not 0 < host.port <= MAX_PORT:
-        return Err(Unreadable("not an IPv4 address with a port"))
-    return decoded
-
-
 class ChangeApplier:
     """Applies changes of the store's topics to the components that depend on them.
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -13,13 +13,12 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-import msgspec
 from result import Err
 
 from waxwingbarrow.capacity import ScalingPolicy
 from waxwingbarrow.core import DataCentre, HostId, Instant
 from waxwingbarrow.gateway._callers import CallerServer
-from waxwingbarrow.gateway._change_applier import ChangeApplier, HostRegistration
+from waxwingbarrow.gateway._change_applier import ChangeApplier
 from waxwingbarrow.gateway._clock import BootClock
 from waxwingbarrow.gateway._crash_records import CrashRecorder
 from waxwingbarrow.gateway._crash_tracker import CrashTracker
@@ -40,10 +39,11 @@
 from waxwingbarrow.gateway._permits import Permits
 from waxwingbarrow.gateway._placements import AttemptReporter, PlacementAdviser
 from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic, describe_failure
+from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic
 from waxwingbarrow.gateway._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway._quotas import Quotas
+from waxwingbarrow.gateway._registrations import Registrations
 from waxwingbarrow.gateway._relays import compute_relay_mbps
 from waxwingbarrow.gateway._replica import Replica
 from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
@@ -77,8 +77,6 @@
 STOP_MARGIN_S = 0.6
 RETRY_INTERVAL_S = 0.5
 SETTINGS_CHECK_INTERVAL_S = 2.0
-# Longer than the interval at which the list of hosts is read.
-REGISTRATION_CHECK_INTERVAL_S = 35.0
 
 
 class Gateway:
@@ -287,6 +285,15 @@
             self._reads_upstreams,
             lambda: self._peer_protocol.find_operator_wait_ms(clock.now()),
         )
+        self._registrations = Registrations(
+            own,
+            store,
+            self._replicas[Topic.HOSTS],
+            self._members,
+            self._peer_protocol.list_removable,
+            self._follower.follow_hosts,
+            clock,
+        )
         ttl_ms = max(MEMBER_TTL_MS, settings.store.min_ttl_ms)
         lease = Lease(bounds.lease_ms, ttl_ms)
         tasks: list[DutyTask] = [
@@ -406,56 +413,10 @@
                     logger.warning("address not free", extra={"error": repr(error)})
                     await asyncio.sleep(RETRY_INTERVAL_S)
 
-    async def _register(self) -> None:
-        """Register this host in the store, then follow the list of hosts."""
-        while not await self._write_registration():
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        await self._follower.follow_hosts()
-
-    async def _write_registration(self) -> bool:
-        """Write the registration of this host; return whether the store took it."""
-        settings = self._settings
-        registration = HostRegistration(
-            ip=settings.ip,
-            port=settings.peer_port,
-            data_centre=settings.data_centre,
-            started_ms=self._started_at.wall_ms,
-            relay_mbps=self._relay_mbps,
-        )
-        value = msgspec.json.encode(registration)
-        return await self._write_host(settings.host_id, value)
-
-    async def _write_host(self, host: str, value: bytes) -> bool:
-        written = await self._store.write_keyed(Topic.HOSTS, host, value)
-        if isinstance(written, Err):
-            reason = describe_failure(written.err_value)
-            logger.warning(
-                "host not registered", extra={"registered": host, "reason": reason}
-            )
-            return False
-        return True
-
-    async def _maintain_registrations(self) -> None:
-        """Remove the registrations of hosts that have ended, and keep the own one.
-
-        Another host may remove the one of this host while a network partition lasts.
-        """
-        while True:
-            await asyncio.sleep(REGISTRATION_CHECK_INTERVAL_S)
-            now = self._clock.now()
-            hosts = self._replicas[Topic.HOSTS]
-            registered = [HostId(host) for host in hosts.records]
-            for host in self._peer_protocol.list_removable(registered, now):
-                if await self._write_host(host, b""):
-                    logger.info("host removed", extra={"removed": host})
-                    self._members.forget_absent(host, now)
-            if registered and HostId(self._settings.host_id) not in registered:
-                await self._write_registration()
-
     def _start_background_tasks(self) -> None:
         tasks: dict[str, TaskStart] = {
-            "hosts": self._register,
-            "registrations": self._maintain_registrations,
+            "hosts": self._registrations.register,
+            "registrations": self._registrations.maintain,
             "operator": self._follower.follow_operator,
             "upstreams": self._follower.follow_upstreams,
             "status": self._follow_status,
--- a/libs/gateway/tests/test_replaced_hosts.py
+++ b/libs/gateway/tests/test_replaced_hosts.py
@@ -6,15 +6,19 @@
 
 import pytest
 from peer_network import PORT, Network
+from result import Ok
 
 from waxwingbarrow.core import HostId, ManualClock
-from waxwingbarrow.gateway._members import FORGET_TIMEOUT_MS
+from waxwingbarrow.gateway import KeyedPage, KeyedRecord
+from waxwingbarrow.gateway._members import FORGET_TIMEOUT_MS, Member, Members
+from waxwingbarrow.gateway._registrations import Registrations, read_host
 from waxwingbarrow.gateway._relays import (
     MAX_SILENCES,
     RELAY_TIMEOUT_MS,
     RelaySelector,
     rank_relays,
 )
+from waxwingbarrow.gateway._replica import Replica
 
 ENDED = 24
 CENTRE = "dc0"
@@ -124,3 +128,31 @@
     other = HostId("h0-1" if relay is network.hosts["h0-0"] else "h0-0")
     relay.members.forget_absent(other, now)
     assert relay.members.find(other) is not None
+
+
+class FakeStore:
+    """Records what is written; an empty value removes a key."""
+
+    def __init__(self):
+        self.written = {}
+
+    async def write_keyed(self, topic, key, value):
+        self.written[key] = value
+        return Ok(1)
+
+
+async def test_registration_that_another_host_removed_is_written_again():
+    """Guards against hosts that nobody finds after a long network partition."""
+    clock, store, replica = ManualClock(), FakeStore(), Replica()
+    own = Member(HostId("own"), ("10.0.0.1", PORT), CENTRE, 5, None, 0, 10)
+    members = Members(own.host)
+    ended = HostId("ended")
+    members.add_registered(ended, ("10.0.0.2", PORT), CENTRE, 1, 10, clock.now())
+    replica.apply_listing(KeyedPage((KeyedRecord(0, "ended", b"{}"),), 1))
+    registrations = Registrations(
+        own, store, replica, members, lambda hosts, now: list(hosts), None, clock
+    )
+    await registrations.check(clock.now())
+    assert store.written["ended"] == b""
+    assert members.find(ended) is None
+    assert read_host(store.written["own"]).unwrap().port == PORT
