Ignore what a caller sends after its connection was given up

While a request was handled, a second one behind it with a head without an end was rejected for its size, but its headers were still kept: one caller could take a host's memory.

Tests of callers' memory close their connections.

--- a/libs/gateway/src/waxwingbarrow/gateway/_caller_connections.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_caller_connections.py
@@ -133,7 +133,7 @@
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._closing and self._task is None:
+        if self._closing:
             return
         if self.head_since_ms is None and not self._in_body:
             self.head_since_ms = self._server.now_ms()
@@ -163,6 +163,8 @@
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._closing:
+            return
         self._headers.append((name, value))
         # 4 bytes for the colon, the space and the line end.
         self._count_header_bytes(len(name) + len(value) + 4)
--- a/libs/gateway/tests/test_caller_memory.py
+++ b/libs/gateway/tests/test_caller_memory.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -24,6 +25,7 @@
     def __init__(self):
         self.unblock = asyncio.Event()
         self.response = b""
+        self.writers = []
         self.server = CallerServer(self.handle, lambda: LIMITS, ManualClock().now)
         self.server.now_ms = lambda: 0
 
@@ -33,7 +35,9 @@
 
     async def connect(self):
         port = self.server._server.sockets[0].getsockname()[1]
-        return await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self.writers.append(writer)
+        return reader, writer
 
     async def send(self, size_bytes, sent_bytes=None):
         """Send a request, or the first part of one, and return its connection."""
@@ -56,6 +60,10 @@
     running.server.stop_listening()
     for connection in list(running.server.connections):
         connection.abort()
+    for writer in running.writers:
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
 
 
 async def read_status(reader):
@@ -117,3 +125,18 @@
         writer.close()
     await asyncio.sleep(0.1)
     assert served.server.handled_bytes == 0
+
+
+async def test_endless_head_behind_a_request_takes_no_memory(served):
+    """Guards against headers that are kept while an earlier request is handled."""
+    reader, writer = await served.send(10)
+    writer.write(b"POST /b HTTP/1.1\r\n")
+    for _ in range(200):
+        writer.write(b"X-More: and more\r\n" * 500)
+        await writer.drain()
+    await asyncio.sleep(0.1)
+    (connection,) = served.server.connections
+    assert len(connection._headers) * len(b"X-More: and more") < 2 * 16_384
+    served.unblock.set()
+    assert await read_status(reader) == 200
+    writer.close()
