--- a/libs/gateway/src/waxwingbarrow/gateway/_fragments.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_fragments.py
@@ -84,6 +84,8 @@
         """Return the message if this datagram completes it, else None."""
         if len(datagram) < HEADER.size:
             return Err(Unreadable("datagram is shorter than a fragment header"))
+        if len(datagram) > HEADER.size + MAX_FRAGMENT_BYTES:
+            return Err(Unreadable(f"fragment of {len(datagram)} bytes"))
         number, position, count, is_compressed = HEADER.unpack_from(datagram)
         if position >= count or count > MAX_FRAGMENTS:
             return Err(
--- a/libs/gateway/tests/test_fragments.py
+++ b/libs/gateway/tests/test_fragments.py
@@ -69,3 +69,12 @@
     """Guards against a cut message that is taken for a whole one."""
     datagram = HEADER.pack(1, 0, 1, True) + zlib.compress(b"a" * 400_000)
     assert Reassembler().join(PEER, datagram).is_err()
+
+
+def test_oversized_fragment_is_unreadable():
+    """Guards against incomplete messages that take the memory of a host."""
+    reassembler = Reassembler()
+    for position in range(64):
+        datagram = HEADER.pack(1, position, 64, 0) + b"x" * 60_000
+        assert reassembler.join("10.0.0.1", datagram).is_err()
+    assert reassembler._incomplete == {}
