Let the processes of a measurement wait for each other

Cause, by reading: each process measured from its own start on and ended a second after its measurement, so one that had started later than that counted the streams of processes that had ended. They now start and end together.

--- a/libs/bench/src/waxwingbarrow/bench/_gossip.py
+++ b/libs/bench/src/waxwingbarrow/bench/_gossip.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from multiprocessing.synchronize import Barrier
 
 import attrs
 
@@ -54,6 +55,8 @@
 SILENCE_TIMEOUT_MS = 5_000
 FRAME_OVERHEAD_BYTES = 5 + 9 + 52  # gRPC prefix, HTTP/2 header, TCP and IP headers
 INCARNATION = Incarnation(1, 0)
+# Time in which all processes of a measurement have started or measured.
+BARRIER_TIMEOUT_S = 60.0
 
 
 @attrs.frozen
@@ -358,7 +361,9 @@
     the processor time.
     """
     measure = functools.partial(_measure_node, _find_addresses(nodes), seconds)
-    with ProcessPoolExecutor(nodes, multiprocessing.get_context("spawn")) as pool:
+    context = multiprocessing.get_context("spawn")
+    barrier = context.Barrier(nodes)
+    with ProcessPoolExecutor(nodes, context, _set_barrier, (barrier,)) as pool:
         costs = [attrs.astuple(cost) for cost in pool.map(measure, range(nodes))]
     return NodeCost(nodes, *map(statistics.fmean, list(zip(*costs, strict=True))[1:]))
 
@@ -375,11 +380,27 @@
     )
 
 
+# Where the processes of one measurement wait for each other.
+_barrier: Barrier | None = None
+
+
+def _set_barrier(barrier: Barrier) -> None:
+    global _barrier
+    _barrier = barrier
+
+
+async def _wait_for_others() -> None:
+    assert _barrier is not None
+    await asyncio.to_thread(_barrier.wait, BARRIER_TIMEOUT_S)
+
+
 def _measure_node(addresses: Sequence[str], seconds: float, index: int) -> NodeCost:
     return asyncio.run(_run_node(_make_node(index, addresses), seconds))
 
 
 async def _run_node(node: PeerNode, seconds: float) -> NodeCost:
+    # On a busy machine one process starts seconds after another.
+    await _wait_for_others()
     task = asyncio.create_task(node.run())
     await asyncio.sleep(5)
     before = attrs.evolve(node.counters)
@@ -391,7 +412,8 @@
     sent = node.counters.bytes_sent - before.bytes_sent
     sent += frames * FRAME_OVERHEAD_BYTES
     streams = len(node.list_peers())
-    await asyncio.sleep(1)  # keeps the streams open for nodes that still measure
+    # The streams stay open while other nodes still measure.
+    await _wait_for_others()
     node.stop()
     await task
     rates = (value / passed_s for value in (frames, sent, 100 * cpu_s))
