--- a/libs/gateway/src/waxwingbarrow/gateway/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/__init__.py
@@ -4,78 +4,72 @@
 `Codec` are the interfaces that an adapter to a platform implements.
 """
 
-from waxwingbarrow.gateway._callers import CallerServer, Responder
-from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._channels import (
-    BrokenError,
-    ChannelError,
-    ConnectError,
-)
-from waxwingbarrow.gateway._clock import BootClock
-from waxwingbarrow.gateway._decoding import (
+from waxwingbarrow.gateway._gateway import Gateway
+from waxwingbarrow.gateway.base import (
     DECODING_ERRORS,
     MAX_PORT,
-    BoundedFloat,
-    BoundedInt,
-    decode_json,
-    decode_with,
-    describe_error,
-    is_header_value,
-    parse_address,
-    parse_decimal,
-)
-from waxwingbarrow.gateway._gateway import Gateway
-from waxwingbarrow.gateway._logs import configure_logs
-from waxwingbarrow.gateway._metrics import Metrics
-from waxwingbarrow.gateway._model import (
     Account,
     Backend,
+    BootClock,
+    BoundedFloat,
+    BoundedInt,
     Call,
     CallerLimits,
     CallMetadata,
-    Configuration,
-    Engine,
-    ForwardingMetadata,
-    Headers,
-    ResponseHead,
-    ResponseMetadata,
-    RolloutOrder,
-    RolloutState,
-    RolloutStatus,
-    Route,
-    RouteKind,
-    Scaling,
-    Service,
-    UpstreamEntry,
-)
-from waxwingbarrow.gateway._ports import (
     Cloud,
     CloudFailure,
     CloudRefused,
+    CloudSettings,
     CloudUnreachable,
     Codec,
+    Configuration,
     DutyAssignment,
+    Engine,
     Fenced,
+    ForwardingMetadata,
+    GatewaySettings,
+    Headers,
     HistoryGone,
     KeyedPage,
     KeyedRecord,
+    Metrics,
     MoveState,
     Record,
     RecordPage,
+    ResponseHead,
+    ResponseMetadata,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    Route,
+    RouteKind,
+    Scaling,
+    Service,
     Store,
     StoreFailure,
     StoreRefused,
+    StoreSettings,
     StoreUnreachable,
     Topic,
     Unreadable,
-)
-from waxwingbarrow.gateway._settings import (
-    CloudSettings,
-    GatewaySettings,
-    StoreSettings,
+    UpstreamEntry,
+    configure_logs,
+    decode_json,
+    decode_with,
+    describe_error,
+    is_header_value,
+    parse_address,
+    parse_decimal,
     read_settings,
     split_address,
 )
+from waxwingbarrow.gateway.callers import CallerServer, Responder
+from waxwingbarrow.gateway.upstreams import (
+    BrokenError,
+    ChannelError,
+    ChannelPool,
+    ConnectError,
+)
 
 __all__ = [
     "DECODING_ERRORS",
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -17,47 +17,66 @@
 
 from waxwingbarrow.capacity import ScalingPolicy
 from waxwingbarrow.core import DataCentre, HostId, Instant
-from waxwingbarrow.gateway._callers import CallerServer
-from waxwingbarrow.gateway._change_applier import ChangeApplier
-from waxwingbarrow.gateway._clock import BootClock
-from waxwingbarrow.gateway._crash_records import CrashRecorder
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._dispatch import Dispatcher
-from waxwingbarrow.gateway._duties import MEMBER_TTL_MS, DutyRunner, DutyTask, Lease
-from waxwingbarrow.gateway._duty_tasks import RolloutTask, UsageTask
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._follower import Follower, StoreHealth
-from waxwingbarrow.gateway._internal_endpoints import InternalEndpoints
-from waxwingbarrow.gateway._leased_cloud import LeasedCloud
-from waxwingbarrow.gateway._logs import BoundedHandler
-from waxwingbarrow.gateway._members import Member, Members
-from waxwingbarrow.gateway._metrics import Metrics
-from waxwingbarrow.gateway._model import CallerLimits, Service
-from waxwingbarrow.gateway._moves import StreamMover
-from waxwingbarrow.gateway._peer_sync import PeerSync
-from waxwingbarrow.gateway._peers import PeerProtocol
-from waxwingbarrow.gateway._permits import Permits
-from waxwingbarrow.gateway._placements import AttemptReporter, PlacementAdviser
-from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._ports import Cloud, Codec, Store, Topic
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission
-from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._registrations import Registrations
-from waxwingbarrow.gateway._relays import compute_relay_mbps
-from waxwingbarrow.gateway._replica import Replica
-from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
-from waxwingbarrow.gateway._retry_budgets import RetryBudgets
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._scaling import ScalingTask
-from waxwingbarrow.gateway._settings import (
+from waxwingbarrow.gateway.admission import (
+    AttemptReporter,
+    Permits,
+    PlacementAdviser,
+    QuotaAdmission,
+    QuotaKeeper,
+    Quotas,
+)
+from waxwingbarrow.gateway.base import (
+    BootClock,
+    BoundedHandler,
+    CallerLimits,
+    Cloud,
+    Codec,
     GatewaySettings,
+    Metrics,
+    Service,
+    Store,
+    Supervisor,
+    TaskStart,
+    Topic,
     read_settings,
     split_address,
 )
-from waxwingbarrow.gateway._supervision import Supervisor, TaskStart
-from waxwingbarrow.gateway._usage import UsageCounter
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.callers import CallerServer
+from waxwingbarrow.gateway.configuration import ChangeApplier, Registrations
+from waxwingbarrow.gateway.duties import (
+    MEMBER_TTL_MS,
+    DutyRunner,
+    DutyTask,
+    Lease,
+    LeasedCloud,
+    RolloutTask,
+    ScalingTask,
+    UsageTask,
+)
+from waxwingbarrow.gateway.peers import (
+    InternalEndpoints,
+    Member,
+    Members,
+    PeerProtocol,
+    PeerSync,
+    compute_relay_mbps,
+)
+from waxwingbarrow.gateway.replication import (
+    Follower,
+    Replica,
+    ReplicaFetcher,
+    StoreHealth,
+)
+from waxwingbarrow.gateway.requests import (
+    Dispatcher,
+    Planner,
+    RetryBudgets,
+    Rollouts,
+    StreamMover,
+    UsageCounter,
+    WorkMeter,
+)
+from waxwingbarrow.gateway.upstreams import CrashRecorder, CrashTracker, Fleet
 from waxwingbarrow.rollout import CanaryPolicy
 from waxwingbarrow.routing import PlacementPolicy
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_permit_keeper.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_permit_keeper.py
@@ -6,7 +6,7 @@
 from result import Ok, Result
 
 from waxwingbarrow.core import Instant, RateLimited
-from waxwingbarrow.gateway._notices import UpstreamNotices, UpstreamProcess
+from waxwingbarrow.gateway.upstreams import UpstreamNotices, UpstreamProcess
 from waxwingbarrow.limits import TokenBucket
 
 # Permits of this time may be used at once after an idle period, and at least one.
--- a/libs/gateway/src/waxwingbarrow/gateway/_permits.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_permits.py
@@ -15,9 +15,9 @@
 from result import Err, Ok, Result
 
 from waxwingbarrow.core import Clock, Instant, RateLimited, ServiceName
-from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, PermitReply, PermitRequest
-from waxwingbarrow.gateway._notices import UpstreamNotices, UpstreamProcess
-from waxwingbarrow.gateway._permit_keeper import MIN_RATE_PER_S, PermitKeeper
+from waxwingbarrow.gateway.admission._permit_keeper import MIN_RATE_PER_S, PermitKeeper
+from waxwingbarrow.gateway.messages import MESSAGE_FORMAT, PermitReply, PermitRequest
+from waxwingbarrow.gateway.upstreams import UpstreamNotices, UpstreamProcess
 
 logger = logging.getLogger("waxwingbarrow.gateway.permits")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
@@ -15,18 +15,17 @@
 from result import Err
 
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.admission._permit_keeper import PermitKeeper
+from waxwingbarrow.gateway.admission._quota_admission import AdviceSource, RequestKey
+from waxwingbarrow.gateway.base import Engine
+from waxwingbarrow.gateway.messages import (
     MESSAGE_FORMAT,
     AttemptOutcome,
     AttemptReport,
     PlacementAdvice,
     PlacementQuery,
 )
-from waxwingbarrow.gateway._model import Engine
-from waxwingbarrow.gateway._permit_keeper import PermitKeeper
-from waxwingbarrow.gateway._quota_admission import AdviceSource, RequestKey
-from waxwingbarrow.gateway._upstreams import Upstream
+from waxwingbarrow.gateway.upstreams import Fleet, Upstream
 from waxwingbarrow.routing import (
     BacklogPolicy,
     BacklogTracker,
--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_quota_admission.py
@@ -22,7 +22,10 @@
 from result import Err, Ok, Result
 
 from waxwingbarrow.core import AccountId, Clock, HostId, Instant
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
+from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.base import Account
+from waxwingbarrow.gateway.messages import (
     MESSAGE_FORMAT,
     Heartbeat,
     PlacementAdvice,
@@ -30,9 +33,6 @@
     QuotaReply,
     QuotaRequest,
 )
-from waxwingbarrow.gateway._model import Account
-from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
-from waxwingbarrow.gateway._quotas import Quotas
 
 logger = logging.getLogger("waxwingbarrow.gateway.grants")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_quota_keeper.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_quota_keeper.py
@@ -4,7 +4,7 @@
 from result import Ok, Result
 
 from waxwingbarrow.core import AccountId, HostId, Instant, RateLimited
-from waxwingbarrow.gateway._quotas import Quotas
+from waxwingbarrow.gateway.admission._quotas import Quotas
 from waxwingbarrow.limits import TokenBucket
 
 # A deputy that was not asked for this long estimates again what is left of the limits,
--- a/libs/gateway/src/waxwingbarrow/gateway/_quotas.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_quotas.py
@@ -12,7 +12,7 @@
 from result import Ok, Result
 
 from waxwingbarrow.core import AccountId, HostId, Instant, RateLimited
-from waxwingbarrow.gateway._model import Account, CallMetadata
+from waxwingbarrow.gateway.base import Account, CallMetadata
 from waxwingbarrow.limits import (
     DemandMeter,
     PeerDemand,
--- a/libs/gateway/src/waxwingbarrow/gateway/_decoding.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_decoding.py
@@ -12,7 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from waxwingbarrow.gateway._ports import Unreadable
+from waxwingbarrow.gateway.base._ports import Unreadable
 
 # Greatest magnitude of a number in a document or message: integers up to it are exact
 # in JSON, and sums of many fit into 64 bits when they are sent on.
--- a/libs/gateway/src/waxwingbarrow/gateway/_http_heads.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_http_heads.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from waxwingbarrow.gateway._model import Headers, ResponseHead
+from waxwingbarrow.gateway.base._model import Headers, ResponseHead
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -11,7 +11,7 @@
 from result import Result
 
 from waxwingbarrow.core import AccountId, DataCentre, Failure, ServiceName
-from waxwingbarrow.gateway._model import (
+from waxwingbarrow.gateway.base._model import (
     Call,
     CallMetadata,
     Configuration,
--- a/libs/gateway/src/waxwingbarrow/gateway/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from waxwingbarrow.core import FieldInvalid, in_range, read_json
-from waxwingbarrow.gateway._decoding import MAX_PORT, parse_decimal
+from waxwingbarrow.gateway.base._decoding import MAX_PORT, parse_decimal
 
 ADDRESS_HELP = "an IP address and a port, such as 10.0.0.1:8000"
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_caller_connections.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/callers/_caller_connections.py
@@ -8,12 +8,10 @@
 
 import httptools
 
-from waxwingbarrow.gateway._decoding import parse_decimal
-from waxwingbarrow.gateway._http_heads import write_response_head
-from waxwingbarrow.gateway._model import Call, Headers
+from waxwingbarrow.gateway.base import Call, Headers, parse_decimal, write_response_head
 
 if TYPE_CHECKING:
-    from waxwingbarrow.gateway._callers import CallerServer
+    from waxwingbarrow.gateway.callers._callers import CallerServer
 
 logger = logging.getLogger("waxwingbarrow.gateway.callers")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_callers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/callers/_callers.py
@@ -4,13 +4,12 @@
 import logging
 from collections.abc import Callable
 
-from waxwingbarrow.gateway._caller_connections import (
+from waxwingbarrow.gateway.base import CallerLimits, MemoryBudget
+from waxwingbarrow.gateway.callers._caller_connections import (
     CallerConnection,
     Handler,
     Responder,
 )
-from waxwingbarrow.gateway._memory_budget import MemoryBudget
-from waxwingbarrow.gateway._model import CallerLimits
 
 logger = logging.getLogger("waxwingbarrow.gateway.callers")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -7,21 +7,18 @@
 from result import Err
 
 from waxwingbarrow.core import Clock, DataCentre, HostId, Instant, UpstreamId
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._follower import StoreHealth
-from waxwingbarrow.gateway._members import Members
-from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._ports import (
+from waxwingbarrow.gateway.admission import Quotas
+from waxwingbarrow.gateway.base import (
     Codec,
     KeyedPage,
     KeyedRecord,
     Topic,
 )
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._registrations import read_host
-from waxwingbarrow.gateway._replica import Change, Replica
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._routes import RouteTable
+from waxwingbarrow.gateway.configuration._registrations import read_host
+from waxwingbarrow.gateway.peers import Members
+from waxwingbarrow.gateway.replication import Change, Replica, StoreHealth
+from waxwingbarrow.gateway.requests import Planner, Rollouts, RouteTable
+from waxwingbarrow.gateway.upstreams import Fleet
 
 logger = logging.getLogger("waxwingbarrow.gateway.knowledge")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_registrations.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_registrations.py
@@ -8,15 +8,18 @@
 from result import Err, Result
 
 from waxwingbarrow.core import Clock, HostId, Instant
-from waxwingbarrow.gateway._decoding import (
+from waxwingbarrow.gateway.base import (
     MAX_PORT,
     BoundedInt,
+    Store,
+    Topic,
+    Unreadable,
     decode_json,
+    describe_failure,
     is_ip_address,
 )
-from waxwingbarrow.gateway._members import Member, Members
-from waxwingbarrow.gateway._ports import Store, Topic, Unreadable, describe_failure
-from waxwingbarrow.gateway._replica import Replica
+from waxwingbarrow.gateway.peers import Member, Members
+from waxwingbarrow.gateway.replication import Replica
 
 logger = logging.getLogger("waxwingbarrow.gateway")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_duties.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_duties.py
@@ -14,13 +14,13 @@
 from result import Err
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._ports import (
+from waxwingbarrow.gateway.base import (
     Fenced,
     Store,
+    Supervisor,
     Topic,
     describe_failure,
 )
-from waxwingbarrow.gateway._supervision import Supervisor
 
 logger = logging.getLogger("waxwingbarrow.gateway.duties")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_duty_tasks.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_duty_tasks.py
@@ -7,20 +7,21 @@
 from result import Err
 
 from waxwingbarrow.core import AccountId, Instant, ServiceName, VersionName
-from waxwingbarrow.gateway._decoding import BoundedInt, decode_msgpack
-from waxwingbarrow.gateway._duties import Lease
-from waxwingbarrow.gateway._model import RolloutState, RolloutStatus
-from waxwingbarrow.gateway._ports import (
+from waxwingbarrow.gateway.base import (
+    BoundedInt,
     Cloud,
     CloudRefused,
     Codec,
     Fenced,
+    RolloutState,
+    RolloutStatus,
     Store,
     Topic,
+    decode_msgpack,
     describe_failure,
 )
-from waxwingbarrow.gateway._rollouts import Rollout, Rollouts
-from waxwingbarrow.gateway._usage import UsageCounter
+from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.requests import Rollout, Rollouts, UsageCounter
 from waxwingbarrow.rollout import Complete, Withdraw
 
 logger = logging.getLogger("waxwingbarrow.gateway.duties")
--- a/libs/gateway/src/waxwingbarrow/gateway/_leased_cloud.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_leased_cloud.py
@@ -7,8 +7,8 @@
 from result import Err, Result
 
 from waxwingbarrow.core import AccountId, Clock, DataCentre, ServiceName
-from waxwingbarrow.gateway._duties import Lease
-from waxwingbarrow.gateway._ports import Cloud, CloudFailure, LeaseEnded
+from waxwingbarrow.gateway.base import Cloud, CloudFailure, LeaseEnded
+from waxwingbarrow.gateway.duties._duties import Lease
 
 
 class LeasedCloud(Cloud):
--- a/libs/gateway/src/waxwingbarrow/gateway/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
@@ -16,16 +16,17 @@
     plan_scaling,
 )
 from waxwingbarrow.core import Instant, ServiceName, VersionName
-from waxwingbarrow.gateway._duties import Lease
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._model import Scaling, Service
-from waxwingbarrow.gateway._ports import (
+from waxwingbarrow.gateway.base import (
     Cloud,
     CloudRefused,
     LeaseEnded,
+    Scaling,
+    Service,
     describe_failure,
 )
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.requests import WorkMeter
+from waxwingbarrow.gateway.upstreams import Fleet
 
 logger = logging.getLogger("waxwingbarrow.gateway.scaling")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_fragments.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_fragments.py
@@ -8,7 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from waxwingbarrow.gateway._ports import Unreadable
+from waxwingbarrow.gateway.base import Unreadable
 
 logger = logging.getLogger("waxwingbarrow.gateway.peers")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -6,15 +6,14 @@
 from result import Err, Result
 
 from waxwingbarrow.core import UpstreamId
-from waxwingbarrow.gateway._crash_tracker import PartLosses
-from waxwingbarrow.gateway._decoding import (
+from waxwingbarrow.gateway.base import (
     BoundedFloat,
     BoundedInt,
+    Unreadable,
     Unsigned64,
     decode_with,
 )
-from waxwingbarrow.gateway._notices import NoticeReport, UpstreamProcess
-from waxwingbarrow.gateway._ports import Unreadable
+from waxwingbarrow.gateway.upstreams import NoticeReport, PartLosses, UpstreamProcess
 
 # Version of the message format; messages of another version are ignored.
 MESSAGE_FORMAT = 5
--- a/libs/gateway/src/waxwingbarrow/gateway/_internal_endpoints.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_internal_endpoints.py
@@ -4,11 +4,9 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 
-from waxwingbarrow.gateway._callers import Responder
-from waxwingbarrow.gateway._http_heads import get_reason_phrase
-from waxwingbarrow.gateway._model import Call
-from waxwingbarrow.gateway._replica import Replica
-from waxwingbarrow.gateway._replica_fetcher import decode_offsets, encode_listing
+from waxwingbarrow.gateway.base import Call, get_reason_phrase
+from waxwingbarrow.gateway.callers import Responder
+from waxwingbarrow.gateway.replication import Replica, decode_offsets, encode_listing
 
 
 class InternalEndpoints:
--- a/libs/gateway/src/waxwingbarrow/gateway/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
@@ -8,18 +8,14 @@
     ServiceName,
     UpstreamId,
 )
-from waxwingbarrow.gateway._candidates import DutyEligibility
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._members import Member, Members
-from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
-from waxwingbarrow.gateway._ports import Topic
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._replica import Replica
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._upstreams import Load
-from waxwingbarrow.gateway._usage import UsageCounter
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.admission import Quotas
+from waxwingbarrow.gateway.base import Topic
+from waxwingbarrow.gateway.messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
+from waxwingbarrow.gateway.peers._candidates import DutyEligibility
+from waxwingbarrow.gateway.peers._members import Member, Members
+from waxwingbarrow.gateway.replication import Replica
+from waxwingbarrow.gateway.requests import Rollouts, UsageCounter, WorkMeter
+from waxwingbarrow.gateway.upstreams import CrashTracker, Fleet, Load
 from waxwingbarrow.routing import PromptPart
 
 # Maximum number of prompts whose parts a heartbeat contains.
--- a/libs/gateway/src/waxwingbarrow/gateway/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
@@ -11,35 +11,32 @@
 from result import Err
 
 from waxwingbarrow.core import Clock, HostId, Instant
-from waxwingbarrow.gateway._candidates import Candidacy, DutyEligibility
-from waxwingbarrow.gateway._decoding import is_ip_address
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._fragments import Fragmenter, Reassembler
-from waxwingbarrow.gateway._members import (
-    FORGET_TIMEOUT_MS,
-    LIMIT_SHARE_TIMEOUT_MS,
-    Member,
-    Members,
-)
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.admission import STAND_IN_SHARE, Permits, QuotaAdmission
+from waxwingbarrow.gateway.base import Supervisor, Topic, Unreadable, is_ip_address
+from waxwingbarrow.gateway.messages import (
     AttemptReport,
+    Fragmenter,
     Heartbeat,
     Message,
     PermitReply,
     PermitRequest,
     QuotaReply,
     QuotaRequest,
+    Reassembler,
     RelaySummary,
     decode_message,
     encode_message,
 )
-from waxwingbarrow.gateway._operator_coverage import OperatorCoverage
-from waxwingbarrow.gateway._peer_sync import PeerSync
-from waxwingbarrow.gateway._permits import STAND_IN_SHARE, Permits
-from waxwingbarrow.gateway._ports import Topic, Unreadable
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission
-from waxwingbarrow.gateway._relay_directory import RelayDirectory
-from waxwingbarrow.gateway._relays import (
+from waxwingbarrow.gateway.peers._candidates import Candidacy, DutyEligibility
+from waxwingbarrow.gateway.peers._members import (
+    FORGET_TIMEOUT_MS,
+    LIMIT_SHARE_TIMEOUT_MS,
+    Member,
+    Members,
+)
+from waxwingbarrow.gateway.peers._peer_sync import PeerSync
+from waxwingbarrow.gateway.peers._relay_directory import RelayDirectory
+from waxwingbarrow.gateway.peers._relays import (
     MAX_SUMMARY_PROMPTS,
     RELAY_MIN_HOSTS,
     RELAY_TIMEOUT_MS,
@@ -48,8 +45,8 @@
     RelaySelector,
     rank_relays,
 )
-from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
-from waxwingbarrow.gateway._supervision import Supervisor
+from waxwingbarrow.gateway.replication import OperatorCoverage, ReplicaFetcher
+from waxwingbarrow.gateway.upstreams import Fleet
 
 logger = logging.getLogger("waxwingbarrow.gateway.peers")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_relay_directory.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_relay_directory.py
@@ -1,8 +1,8 @@
 """Hosts to which a relay sends its sums before it knows the other relays."""
 
 from waxwingbarrow.core import DataCentre, HostId
-from waxwingbarrow.gateway._members import Member, Members
-from waxwingbarrow.gateway._relays import rank_relays
+from waxwingbarrow.gateway.peers._members import Member, Members
+from waxwingbarrow.gateway.peers._relays import rank_relays
 
 # Preferred hosts to which a relay sends its sums at each exchange, so that it learns of
 # those that run.
--- a/libs/gateway/src/waxwingbarrow/gateway/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_relays.py
@@ -20,10 +20,9 @@
 import xxhash
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
-from waxwingbarrow.gateway._crash_tracker import merge_part_losses, merge_suspects
-from waxwingbarrow.gateway._decoding import MAX_INTEGER, MAX_NUMBER
-from waxwingbarrow.gateway._messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
-from waxwingbarrow.gateway._ports import Topic
+from waxwingbarrow.gateway.base import MAX_INTEGER, MAX_NUMBER, Topic
+from waxwingbarrow.gateway.messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
+from waxwingbarrow.gateway.upstreams import merge_part_losses, merge_suspects
 
 # Number of hosts from which relays are used. A full mesh of this many hosts costs each
 # of them about 1% of a core.
--- /dev/null
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/__init__.py
@@ -0,0 +1,21 @@
+"""Copies of the store's topics, from the store or from other hosts."""
+
+from waxwingbarrow.gateway.replication._follower import Follower, StoreHealth
+from waxwingbarrow.gateway.replication._operator_coverage import OperatorCoverage
+from waxwingbarrow.gateway.replication._replica import Change, Replica
+from waxwingbarrow.gateway.replication._replica_fetcher import (
+    ReplicaFetcher,
+    decode_offsets,
+    encode_listing,
+)
+
+__all__ = [
+    "Change",
+    "Follower",
+    "OperatorCoverage",
+    "Replica",
+    "ReplicaFetcher",
+    "StoreHealth",
+    "decode_offsets",
+    "encode_listing",
+]
--- a/libs/gateway/src/waxwingbarrow/gateway/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._ports import (
+from waxwingbarrow.gateway.base import (
     HistoryGone,
     Store,
     StoreFailure,
@@ -16,7 +16,7 @@
     Topic,
     describe_failure,
 )
-from waxwingbarrow.gateway._replica import Change, Replica
+from waxwingbarrow.gateway.replication._replica import Change, Replica
 
 logger = logging.getLogger("waxwingbarrow.gateway.store")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_replica.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_replica.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord
+from waxwingbarrow.gateway.base import KeyedPage, KeyedRecord
 
 
 @attrs.frozen
--- a/libs/gateway/src/waxwingbarrow/gateway/_replica_fetcher.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
@@ -9,15 +9,15 @@
 import msgspec
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._channels import ChannelError
-from waxwingbarrow.gateway._decoding import (
+from waxwingbarrow.gateway.base import (
     DECODING_ERRORS,
     BoundedInt,
+    KeyedPage,
+    KeyedRecord,
     parse_decimal,
 )
-from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord
-from waxwingbarrow.gateway._replica import Replica
+from waxwingbarrow.gateway.replication._replica import Replica
+from waxwingbarrow.gateway.upstreams import ChannelError, ChannelPool
 
 logger = logging.getLogger("waxwingbarrow.gateway.peers")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -4,46 +4,48 @@
 import logging
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._attempts import (
+from waxwingbarrow.gateway.admission import AttemptReporter, QuotaAdmission
+from waxwingbarrow.gateway.base import (
+    Call,
+    Codec,
+    ForwardingMetadata,
+    Metrics,
+    ResponseHead,
+    RouteKind,
+    get_reason_phrase,
+    is_event_stream,
+)
+from waxwingbarrow.gateway.callers import Responder
+from waxwingbarrow.gateway.messages import AttemptOutcome
+from waxwingbarrow.gateway.requests._moves import PlannedJob
+from waxwingbarrow.gateway.requests._planner import RETRY_AFTER_BUSY_S, Planner
+from waxwingbarrow.gateway.requests._plans import Plan, Refused
+from waxwingbarrow.gateway.requests._retry_budgets import RetryBudgets
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
+from waxwingbarrow.gateway.requests._usage import UsageCounter
+from waxwingbarrow.gateway.upstreams import (
+    EVENT_END,
     AttemptFailure,
+    BrokenError,
     ConnectionLost,
+    CrashChecker,
+    CrashTracker,
+    EventSplitter,
+    Fleet,
     InvalidResponse,
+    Job,
     Moved,
     NotRun,
     NotSent,
     ResponseReceived,
     ResponseStarted,
     TimedOut,
+    Upstream,
     compute_timeout_s,
     read_response,
     release,
     start_attempt,
 )
-from waxwingbarrow.gateway._callers import Responder
-from waxwingbarrow.gateway._channels import BrokenError
-from waxwingbarrow.gateway._crash_checker import CrashChecker
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._events import EVENT_END, EventSplitter
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._http_heads import get_reason_phrase, is_event_stream
-from waxwingbarrow.gateway._messages import AttemptOutcome
-from waxwingbarrow.gateway._metrics import Metrics
-from waxwingbarrow.gateway._model import (
-    Call,
-    ForwardingMetadata,
-    ResponseHead,
-    RouteKind,
-)
-from waxwingbarrow.gateway._moves import PlannedJob
-from waxwingbarrow.gateway._placements import AttemptReporter
-from waxwingbarrow.gateway._planner import RETRY_AFTER_BUSY_S, Planner
-from waxwingbarrow.gateway._plans import Plan, Refused
-from waxwingbarrow.gateway._ports import Codec
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission
-from waxwingbarrow.gateway._retry_budgets import RetryBudgets
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._upstreams import Job, Upstream
-from waxwingbarrow.gateway._usage import UsageCounter
 from waxwingbarrow.routing import Placement
 
 logger = logging.getLogger("waxwingbarrow.gateway.requests")
--- a/libs/gateway/src/waxwingbarrow/gateway/_durations.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_durations.py
@@ -3,7 +3,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant, RouteName
-from waxwingbarrow.gateway._plans import Plan, Refused
+from waxwingbarrow.gateway.requests._plans import Plan, Refused
 
 # Weight of the newest request in the moving averages; about the last 20 count.
 DURATION_WEIGHT = 0.1
--- a/libs/gateway/src/waxwingbarrow/gateway/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
@@ -11,17 +11,18 @@
 from result import Err
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._attempts import Moved
-from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._channels import ChannelError
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._http_heads import write_request_head
-from waxwingbarrow.gateway._model import Engine
-from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._plans import Plan
-from waxwingbarrow.gateway._ports import Codec, MoveState
-from waxwingbarrow.gateway._retry_budgets import RetryBudgets
-from waxwingbarrow.gateway._upstreams import Job, Upstream
+from waxwingbarrow.gateway.base import Codec, Engine, MoveState, write_request_head
+from waxwingbarrow.gateway.requests._planner import Planner
+from waxwingbarrow.gateway.requests._plans import Plan
+from waxwingbarrow.gateway.requests._retry_budgets import RetryBudgets
+from waxwingbarrow.gateway.upstreams import (
+    ChannelError,
+    ChannelPool,
+    Fleet,
+    Job,
+    Moved,
+    Upstream,
+)
 from waxwingbarrow.routing import (
     ReclaimPolicy,
     ReclaimStep,
--- a/libs/gateway/src/waxwingbarrow/gateway/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -7,31 +7,26 @@
 from result import Err
 
 from waxwingbarrow.core import Instant, ServiceName, UpstreamId
-from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
-from waxwingbarrow.gateway._durations import StopCheck
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._messages import PlacementQuery
-from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Engine, Route
-from waxwingbarrow.gateway._permits import Permits
-from waxwingbarrow.gateway._plans import (
+from waxwingbarrow.gateway.admission import Permits, QuotaAdmission, Quotas
+from waxwingbarrow.gateway.base import Account, Call, CallMetadata, Codec, Engine, Route
+from waxwingbarrow.gateway.messages import PlacementQuery
+from waxwingbarrow.gateway.requests._durations import StopCheck
+from waxwingbarrow.gateway.requests._plans import (
     Plan,
     Refused,
     RequestTrace,
     make_fingerprints,
 )
-from waxwingbarrow.gateway._ports import Codec
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._rollouts import Rollouts, VersionRule
-from waxwingbarrow.gateway._routes import (
+from waxwingbarrow.gateway.requests._rollouts import Rollouts, VersionRule
+from waxwingbarrow.gateway.requests._routes import (
     NoAccount,
     NoRoute,
     RouteMatch,
     RouteTable,
     pick_service,
 )
-from waxwingbarrow.gateway._upstreams import Upstream
-from waxwingbarrow.gateway._work_meter import WorkMeter, estimate_work_ms
+from waxwingbarrow.gateway.requests._work_meter import WorkMeter, estimate_work_ms
+from waxwingbarrow.gateway.upstreams import CrashTracker, Fingerprints, Fleet, Upstream
 from waxwingbarrow.routing import (
     Placement,
     PlacementPolicy,
--- a/libs/gateway/src/waxwingbarrow/gateway/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -4,10 +4,10 @@
 import xxhash
 
 from waxwingbarrow.core import Instant, ServiceName, UpstreamId
-from waxwingbarrow.gateway._crash_tracker import Fingerprints
-from waxwingbarrow.gateway._messages import PlacementAdvice
-from waxwingbarrow.gateway._model import Account, Call, CallMetadata, Route
-from waxwingbarrow.gateway._quota_admission import AdviceSource, Charge
+from waxwingbarrow.gateway.admission import AdviceSource, Charge
+from waxwingbarrow.gateway.base import Account, Call, CallMetadata, Route
+from waxwingbarrow.gateway.messages import PlacementAdvice
+from waxwingbarrow.gateway.upstreams import Fingerprints
 
 
 @attrs.define(eq=False)
--- a/libs/gateway/src/waxwingbarrow/gateway/_retry_budgets.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_retry_budgets.py
@@ -1,7 +1,7 @@
 """One host's part of the retry budgets that all hosts share."""
 
 from waxwingbarrow.core import Instant, ServiceName
-from waxwingbarrow.gateway._settings import Bounds
+from waxwingbarrow.gateway.base import Bounds
 from waxwingbarrow.routing import RetryBudget
 
 # Fraction of the allowed retries that the hosts use. The rest is a margin, because they
--- a/libs/gateway/src/waxwingbarrow/gateway/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from waxwingbarrow.core import HostId, Instant, RouteName, ServiceName, VersionName
-from waxwingbarrow.gateway._model import RolloutOrder, RolloutState, RolloutStatus
+from waxwingbarrow.gateway.base import RolloutOrder, RolloutState, RolloutStatus
 from waxwingbarrow.rollout import (
     CanaryDecision,
     CanaryPolicy,
--- a/libs/gateway/src/waxwingbarrow/gateway/_routes.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_routes.py
@@ -4,7 +4,7 @@
 import xxhash
 
 from waxwingbarrow.core import AccountId, ServiceName
-from waxwingbarrow.gateway._model import Account, Configuration, Route, Service
+from waxwingbarrow.gateway.base import Account, Configuration, Route, Service
 
 
 @attrs.frozen
@@ -38,7 +38,7 @@
     Examples
     --------
     >>> from waxwingbarrow.core import RouteName
-    >>> from waxwingbarrow.gateway._model import RouteKind
+    >>> from waxwingbarrow.gateway.base import RouteKind
     >>> routes = tuple(
     ...     Route(name=RouteName(p), host="h", path_prefix=p,
     ...           kind=RouteKind.REPEATABLE, backends=())
--- a/libs/gateway/src/waxwingbarrow/gateway/_work_meter.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_work_meter.py
@@ -3,7 +3,7 @@
 import attrs
 
 from waxwingbarrow.core import HostId, Instant, ServiceName
-from waxwingbarrow.gateway._model import CallMetadata
+from waxwingbarrow.gateway.base import CallMetadata
 from waxwingbarrow.limits import DemandMeter
 
 # Time constant of the measured work: short enough to follow a burst, longer than the
--- a/libs/gateway/src/waxwingbarrow/gateway/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_attempts.py
@@ -6,22 +6,22 @@
 import attrs
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._channels import (
+from waxwingbarrow.gateway.base import (
+    Call,
+    Codec,
+    ForwardingMetadata,
+    ResponseHead,
+    ResponseMetadata,
+    write_request_head,
+)
+from waxwingbarrow.gateway.upstreams._channels import (
     IDLE_TIMEOUT_MARGIN_S,
     MIN_IDLE_TIMEOUT_S,
     BrokenError,
     Channel,
     ConnectError,
 )
-from waxwingbarrow.gateway._http_heads import write_request_head
-from waxwingbarrow.gateway._model import (
-    Call,
-    ForwardingMetadata,
-    ResponseHead,
-    ResponseMetadata,
-)
-from waxwingbarrow.gateway._ports import Codec
-from waxwingbarrow.gateway._upstreams import Upstream
+from waxwingbarrow.gateway.upstreams._upstreams import Upstream
 
 # Number of connections that an attempt tries to send on. The upstream may have closed
 # an idle connection; then the next one is tried.
--- a/libs/gateway/src/waxwingbarrow/gateway/_channel_pools.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channel_pools.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from waxwingbarrow.gateway._channels import Channel, ConnectError
-from waxwingbarrow.gateway._memory_budget import MemoryBudget
-from waxwingbarrow.gateway._response_bounds import (
+from waxwingbarrow.gateway.base import MemoryBudget
+from waxwingbarrow.gateway.upstreams._channels import Channel, ConnectError
+from waxwingbarrow.gateway.upstreams._response_bounds import (
     MAX_POOLED_BODY_BYTES,
     BodyBudget,
 )
--- a/libs/gateway/src/waxwingbarrow/gateway/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
@@ -8,10 +8,15 @@
 import attrs
 import httptools
 
-from waxwingbarrow.gateway._decoding import parse_decimal
-from waxwingbarrow.gateway._memory_budget import MemoryBudget
-from waxwingbarrow.gateway._model import Headers, ResponseHead
-from waxwingbarrow.gateway._response_bounds import (
+from waxwingbarrow.gateway.base import (
+    Headers,
+    MemoryBudget,
+    ResponseHead,
+    discard_unsent,
+    parse_decimal,
+    set_timeouts,
+)
+from waxwingbarrow.gateway.upstreams._response_bounds import (
     MAX_BODY_BYTES,
     MAX_HEADERS,
     MAX_SKIPPED_RESPONSES,
@@ -19,7 +24,6 @@
     OversizedError,
     check_overhead,
 )
-from waxwingbarrow.gateway._socket_options import discard_unsent, set_timeouts
 
 # An idle connection is dropped this long before the upstream's own idle timeout; a
 # request sent just before the upstream closes the connection would be lost.
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_checker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_checker.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from waxwingbarrow.core import Clock, Instant
-from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._upstreams import Upstream
+from waxwingbarrow.gateway.upstreams._crash_tracker import CrashTracker, Fingerprints
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
+from waxwingbarrow.gateway.upstreams._upstreams import Upstream
 
 # Delay after which a new connection shows whether an upstream that dropped a request
 # has crashed.
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
@@ -11,17 +11,18 @@
 from result import Err, Result
 
 from waxwingbarrow.core import Clock
-from waxwingbarrow.gateway._crash_tracker import CrashTracker, PartLosses
-from waxwingbarrow.gateway._decoding import BoundedInt, decode_json
-from waxwingbarrow.gateway._ports import (
+from waxwingbarrow.gateway.base import (
+    BoundedInt,
     KeyedPage,
     KeyedRecord,
     Store,
     StoreFailure,
     StoreRefused,
     Topic,
+    decode_json,
     describe_failure,
 )
+from waxwingbarrow.gateway.upstreams._crash_tracker import CrashTracker, PartLosses
 
 logger = logging.getLogger("waxwingbarrow.gateway.crashes")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_crash_tracker.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_tracker.py
@@ -7,7 +7,7 @@
 import attrs
 
 from waxwingbarrow.core import Incarnation, Instant, UpstreamId
-from waxwingbarrow.gateway._decoding import BoundedInt
+from waxwingbarrow.gateway.base import BoundedInt
 from waxwingbarrow.routing import (
     CrashSuspects,
     CrashSuspicion,
--- a/libs/gateway/src/waxwingbarrow/gateway/_events.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_events.py
@@ -1,6 +1,6 @@
 """Splitting of a server-sent event stream into complete events."""
 
-from waxwingbarrow.gateway._decoding import parse_decimal
+from waxwingbarrow.gateway.base import parse_decimal
 
 EVENT_END = b"\n\n"
 ID_PREFIX = b"id:"
--- a/libs/gateway/src/waxwingbarrow/gateway/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
@@ -11,12 +11,11 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._memory_budget import MemoryBudget
-from waxwingbarrow.gateway._model import Engine, UpstreamEntry
-from waxwingbarrow.gateway._notices import UpstreamNotices
-from waxwingbarrow.gateway._response_bounds import MAX_UPSTREAM_BODY_BYTES
-from waxwingbarrow.gateway._upstreams import Upstream
+from waxwingbarrow.gateway.base import Engine, MemoryBudget, UpstreamEntry
+from waxwingbarrow.gateway.upstreams._channel_pools import ChannelPool
+from waxwingbarrow.gateway.upstreams._notices import UpstreamNotices
+from waxwingbarrow.gateway.upstreams._response_bounds import MAX_UPSTREAM_BODY_BYTES
+from waxwingbarrow.gateway.upstreams._upstreams import Upstream
 from waxwingbarrow.routing import (
     BacklogTracker,
     HealthPolicy,
--- a/libs/gateway/src/waxwingbarrow/gateway/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
@@ -5,8 +5,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant, UpstreamId
-from waxwingbarrow.gateway._decoding import BoundedFloat, BoundedInt
-from waxwingbarrow.gateway._model import ResponseMetadata
+from waxwingbarrow.gateway.base import BoundedFloat, BoundedInt, ResponseMetadata
 
 logger = logging.getLogger("waxwingbarrow.gateway.notices")
 
--- a/libs/gateway/src/waxwingbarrow/gateway/_upstreams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_upstreams.py
@@ -3,9 +3,9 @@
 import attrs
 
 from waxwingbarrow.core import AccountId, HostId, Incarnation, Instant
-from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._model import UpstreamEntry
-from waxwingbarrow.gateway._notices import UpstreamProcess
+from waxwingbarrow.gateway.base import UpstreamEntry
+from waxwingbarrow.gateway.upstreams._channel_pools import ChannelPool
+from waxwingbarrow.gateway.upstreams._notices import UpstreamProcess
 
 # Weight of the newest request in the moving average of failures; about the last ten
 # requests count.
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -3,23 +3,23 @@
 import random
 
 from waxwingbarrow.core import DataCentre, HostId, ManualClock
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._members import Member, Members
-from waxwingbarrow.gateway._metrics import Metrics
-from waxwingbarrow.gateway._peer_sync import PeerSync
-from waxwingbarrow.gateway._peers import PeerProtocol
-from waxwingbarrow.gateway._permits import Permits
-from waxwingbarrow.gateway._ports import Topic
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission
-from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._replica import Replica
-from waxwingbarrow.gateway._replica_fetcher import ReplicaFetcher
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._supervision import Supervisor
-from waxwingbarrow.gateway._usage import UsageCounter
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.admission._permits import Permits
+from waxwingbarrow.gateway.admission._quota_admission import QuotaAdmission
+from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
+from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.base._metrics import Metrics
+from waxwingbarrow.gateway.base._ports import Topic
+from waxwingbarrow.gateway.base._supervision import Supervisor
+from waxwingbarrow.gateway.peers._members import Member, Members
+from waxwingbarrow.gateway.peers._peer_sync import PeerSync
+from waxwingbarrow.gateway.peers._peers import PeerProtocol
+from waxwingbarrow.gateway.replication._replica import Replica
+from waxwingbarrow.gateway.replication._replica_fetcher import ReplicaFetcher
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
+from waxwingbarrow.gateway.requests._usage import UsageCounter
+from waxwingbarrow.gateway.requests._work_meter import WorkMeter
+from waxwingbarrow.gateway.upstreams._crash_tracker import CrashTracker
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 from waxwingbarrow.rollout import CanaryPolicy
 
 PORT = 7000
--- a/libs/gateway/tests/test_abandoned_requests.py
+++ b/libs/gateway/tests/test_abandoned_requests.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from waxwingbarrow.gateway._channel_pools import ChannelPool
+from waxwingbarrow.gateway.upstreams._channel_pools import ChannelPool
 
 REQUEST_BYTES = 4_194_304
 
--- a/libs/gateway/tests/test_advice.py
+++ b/libs/gateway/tests/test_advice.py
@@ -15,20 +15,14 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._messages import (
-    MESSAGE_FORMAT,
-    AttemptOutcome,
-    AttemptReport,
-    PlacementAdvice,
-    PlacementQuery,
-    QuotaReply,
-    QuotaRequest,
-    decode_message,
-    encode_message,
+from waxwingbarrow.gateway.admission._placements import AttemptReporter
+from waxwingbarrow.gateway.admission._quota_admission import (
+    AdviceSource,
+    QuotaAdmission,
 )
-from waxwingbarrow.gateway._model import (
+from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
+from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.base._model import (
     Backend,
     Call,
     CallMetadata,
@@ -40,15 +34,24 @@
     Service,
     UpstreamEntry,
 )
-from waxwingbarrow.gateway._placements import AttemptReporter
-from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._plans import Plan, Refused, RequestTrace
-from waxwingbarrow.gateway._quota_admission import AdviceSource, QuotaAdmission
-from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._routes import RouteTable
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.messages._messages import (
+    MESSAGE_FORMAT,
+    AttemptOutcome,
+    AttemptReport,
+    PlacementAdvice,
+    PlacementQuery,
+    QuotaReply,
+    QuotaRequest,
+    decode_message,
+    encode_message,
+)
+from waxwingbarrow.gateway.requests._planner import Planner
+from waxwingbarrow.gateway.requests._plans import Plan, Refused, RequestTrace
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
+from waxwingbarrow.gateway.requests._routes import RouteTable
+from waxwingbarrow.gateway.requests._work_meter import WorkMeter
+from waxwingbarrow.gateway.upstreams._crash_tracker import CrashTracker, Fingerprints
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 from waxwingbarrow.rollout import CanaryPolicy
 from waxwingbarrow.routing import PlacementPolicy, PromptPart
 
--- a/libs/gateway/tests/test_caller_memory.py
+++ b/libs/gateway/tests/test_caller_memory.py
@@ -10,9 +10,9 @@
 import pytest
 
 from waxwingbarrow.core import ManualClock
-from waxwingbarrow.gateway import _callers
-from waxwingbarrow.gateway._callers import CallerServer
-from waxwingbarrow.gateway._model import CallerLimits
+from waxwingbarrow.gateway.base._model import CallerLimits
+from waxwingbarrow.gateway.callers import _callers
+from waxwingbarrow.gateway.callers._callers import CallerServer
 
 MIB = 1_048_576
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
--- a/libs/gateway/tests/test_callers.py
+++ b/libs/gateway/tests/test_callers.py
@@ -9,8 +9,8 @@
 import pytest
 
 from waxwingbarrow.core import ManualClock
-from waxwingbarrow.gateway._callers import CallerServer
-from waxwingbarrow.gateway._model import CallerLimits
+from waxwingbarrow.gateway.base._model import CallerLimits
+from waxwingbarrow.gateway.callers._callers import CallerServer
 
 LIMITS = CallerLimits(
     max_header_bytes=400,
--- a/libs/gateway/tests/test_change_applier.py
+++ b/libs/gateway/tests/test_change_applier.py
@@ -18,18 +18,18 @@
     VersionName,
 )
 from waxwingbarrow.gateway import KeyedRecord, StoreUnreachable, Topic, UpstreamEntry
-from waxwingbarrow.gateway._change_applier import ChangeApplier
-from waxwingbarrow.gateway._crash_tracker import CrashTracker
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._follower import StoreHealth
-from waxwingbarrow.gateway._members import Members
-from waxwingbarrow.gateway._planner import Planner
-from waxwingbarrow.gateway._quota_admission import QuotaAdmission
-from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
-from waxwingbarrow.gateway._quotas import Quotas
-from waxwingbarrow.gateway._replica import Change, Replica
-from waxwingbarrow.gateway._rollouts import Rollouts
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.admission._quota_admission import QuotaAdmission
+from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
+from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.configuration._change_applier import ChangeApplier
+from waxwingbarrow.gateway.peers._members import Members
+from waxwingbarrow.gateway.replication._follower import StoreHealth
+from waxwingbarrow.gateway.replication._replica import Change, Replica
+from waxwingbarrow.gateway.requests._planner import Planner
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
+from waxwingbarrow.gateway.requests._work_meter import WorkMeter
+from waxwingbarrow.gateway.upstreams._crash_tracker import CrashTracker
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 from waxwingbarrow.rollout import CanaryPolicy
 from waxwingbarrow.routing import PlacementPolicy
 
--- a/libs/gateway/tests/test_crash_checker.py
+++ b/libs/gateway/tests/test_crash_checker.py
@@ -11,11 +11,11 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway import _crash_checker
-from waxwingbarrow.gateway._crash_checker import CrashChecker
-from waxwingbarrow.gateway._crash_tracker import CrashTracker, Fingerprints
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._model import ResponseMetadata, UpstreamEntry
+from waxwingbarrow.gateway.base._model import ResponseMetadata, UpstreamEntry
+from waxwingbarrow.gateway.upstreams import _crash_checker
+from waxwingbarrow.gateway.upstreams._crash_checker import CrashChecker
+from waxwingbarrow.gateway.upstreams._crash_tracker import CrashTracker, Fingerprints
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 
 REQUEST = Fingerprints("f")
 LEAVING = ResponseMetadata(request_id="r", not_run=False, leaving=True)
--- a/libs/gateway/tests/test_crash_tracker.py
+++ b/libs/gateway/tests/test_crash_tracker.py
@@ -3,7 +3,7 @@
 from peer_network import Network
 
 from waxwingbarrow.core import Incarnation, Instant, UpstreamId
-from waxwingbarrow.gateway._crash_tracker import (
+from waxwingbarrow.gateway.upstreams._crash_tracker import (
     MAX_SHARED_PARTS,
     MIN_PART_CRASHES,
     PART_RETENTION_MS,
--- a/libs/gateway/tests/test_duties.py
+++ b/libs/gateway/tests/test_duties.py
@@ -15,12 +15,12 @@
     Record,
     RecordPage,
     StoreUnreachable,
-    _duties,
 )
-from waxwingbarrow.gateway._duties import DutyRunner, Lease
-from waxwingbarrow.gateway._duty_tasks import UsageTask
-from waxwingbarrow.gateway._metrics import Metrics
-from waxwingbarrow.gateway._usage import UsageCounter
+from waxwingbarrow.gateway.base._metrics import Metrics
+from waxwingbarrow.gateway.duties import _duties
+from waxwingbarrow.gateway.duties._duties import DutyRunner, Lease
+from waxwingbarrow.gateway.duties._duty_tasks import UsageTask
+from waxwingbarrow.gateway.requests._usage import UsageCounter
 
 RETURN_WAIT_MS = 3_000
 TTL_MS = 2_000
--- a/libs/gateway/tests/test_endless_responses.py
+++ b/libs/gateway/tests/test_endless_responses.py
@@ -19,15 +19,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from waxwingbarrow.gateway import _events
-from waxwingbarrow.gateway._channel_pools import ChannelPool
-from waxwingbarrow.gateway._channels import BrokenError, Channel
-from waxwingbarrow.gateway._events import (
+from waxwingbarrow.gateway.base._memory_budget import MemoryBudget
+from waxwingbarrow.gateway.upstreams import _events
+from waxwingbarrow.gateway.upstreams._channel_pools import ChannelPool
+from waxwingbarrow.gateway.upstreams._channels import BrokenError, Channel
+from waxwingbarrow.gateway.upstreams._events import (
     MAX_EVENT_BYTES,
     EventSplitter,
 )
-from waxwingbarrow.gateway._memory_budget import MemoryBudget
-from waxwingbarrow.gateway._response_bounds import MAX_OVERHEAD_BYTES
+from waxwingbarrow.gateway.upstreams._response_bounds import MAX_OVERHEAD_BYTES
 
 MIB = 1_048_576
 # The server gives up after this much, so that a missing bound fails the test.
--- a/libs/gateway/tests/test_follower.py
+++ b/libs/gateway/tests/test_follower.py
@@ -8,10 +8,15 @@
 from result import Err, Ok
 
 from waxwingbarrow.core import SystemClock
-from waxwingbarrow.gateway._follower import Follower, StoreHealth
-from waxwingbarrow.gateway._peers import OPERATOR_WAIT_MS
-from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord, StoreUnreachable, Topic
-from waxwingbarrow.gateway._replica import Replica
+from waxwingbarrow.gateway.base._ports import (
+    KeyedPage,
+    KeyedRecord,
+    StoreUnreachable,
+    Topic,
+)
+from waxwingbarrow.gateway.peers._peers import OPERATOR_WAIT_MS
+from waxwingbarrow.gateway.replication._follower import Follower, StoreHealth
+from waxwingbarrow.gateway.replication._replica import Replica
 
 # A version must be in force within 2 s; an unanswered long poll lasts for 11 s.
 CONFIG_BOUND_S = 2.0
--- a/libs/gateway/tests/test_fragments.py
+++ b/libs/gateway/tests/test_fragments.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from waxwingbarrow.gateway._fragments import HEADER, Fragmenter, Reassembler
+from waxwingbarrow.gateway.messages._fragments import HEADER, Fragmenter, Reassembler
 
 LARGEST_DATAGRAM_BYTES = 1_400
 PEER = "10.0.0.1"
--- a/libs/gateway/tests/test_leased_cloud.py
+++ b/libs/gateway/tests/test_leased_cloud.py
@@ -19,13 +19,13 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway._duties import LEASE_MARGIN_MS, Lease
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._leased_cloud import LeasedCloud
-from waxwingbarrow.gateway._model import Scaling, Service, UpstreamEntry
-from waxwingbarrow.gateway._ports import LeaseEnded
-from waxwingbarrow.gateway._scaling import ScalingTask
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.base._model import Scaling, Service, UpstreamEntry
+from waxwingbarrow.gateway.base._ports import LeaseEnded
+from waxwingbarrow.gateway.duties._duties import LEASE_MARGIN_MS, Lease
+from waxwingbarrow.gateway.duties._leased_cloud import LeasedCloud
+from waxwingbarrow.gateway.duties._scaling import ScalingTask
+from waxwingbarrow.gateway.requests._work_meter import WorkMeter
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 
 POOL = ServiceName("pool")
 CENTRES = [DataCentre(name) for name in "abcdef"]
--- a/libs/gateway/tests/test_message_sizes.py
+++ b/libs/gateway/tests/test_message_sizes.py
@@ -10,15 +10,15 @@
 from peer_network import Network
 
 from waxwingbarrow.core import Incarnation, UpstreamId
-from waxwingbarrow.gateway._crash_tracker import (
+from waxwingbarrow.gateway.messages._fragments import Fragmenter
+from waxwingbarrow.gateway.messages._messages import encode_message
+from waxwingbarrow.gateway.upstreams._crash_tracker import (
     MAX_SHARED_REQUESTS,
     MAX_SUMMARY_PARTS,
     Fingerprints,
     merge_part_losses,
     merge_suspects,
 )
-from waxwingbarrow.gateway._fragments import Fragmenter
-from waxwingbarrow.gateway._messages import encode_message
 
 CRASHED = 18
 REQUESTS_PER_HOST = 20
--- a/libs/gateway/tests/test_odd_messages.py
+++ b/libs/gateway/tests/test_odd_messages.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from peer_network import PORT, Network
 
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.messages._messages import (
     MESSAGE_FORMAT,
     AttemptReport,
     PermitReply,
--- a/libs/gateway/tests/test_operator_coverage.py
+++ b/libs/gateway/tests/test_operator_coverage.py
@@ -9,12 +9,12 @@
 from peer_network import Network
 
 from waxwingbarrow.core import Instant
-from waxwingbarrow.gateway._operator_coverage import (
+from waxwingbarrow.gateway.base._ports import Topic
+from waxwingbarrow.gateway.replication._operator_coverage import (
     MAX_BEHIND_MS,
     MAX_CONFIRMATION_AGE_MS,
     OperatorCoverage,
 )
-from waxwingbarrow.gateway._ports import Topic
 
 RELAYS = ("h0-0", "h1-0", "h2-0")
 # A version must be in force within this time at the least, in deployments with relays.
--- a/libs/gateway/tests/test_peers.py
+++ b/libs/gateway/tests/test_peers.py
@@ -8,10 +8,10 @@
 from peer_network import Host, Network, list_candidates, make_holder
 
 from waxwingbarrow.core import AccountId, DataCentre
-from waxwingbarrow.gateway._candidates import Candidacy
-from waxwingbarrow.gateway._peers import RELAY_INTERVAL_S
-from waxwingbarrow.gateway._ports import Topic
-from waxwingbarrow.gateway._quota_admission import MAX_ASKED
+from waxwingbarrow.gateway.admission._quota_admission import MAX_ASKED
+from waxwingbarrow.gateway.base._ports import Topic
+from waxwingbarrow.gateway.peers._candidates import Candidacy
+from waxwingbarrow.gateway.peers._peers import RELAY_INTERVAL_S
 
 ACCOUNT = AccountId("depot")
 
--- a/libs/gateway/tests/test_permits.py
+++ b/libs/gateway/tests/test_permits.py
@@ -15,14 +15,14 @@
 from peer_network import Network, make_holder, make_permits
 
 from waxwingbarrow.core import Instant, ManualClock, ServiceName, UpstreamId
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._model import ResponseMetadata
-from waxwingbarrow.gateway._notices import (
+from waxwingbarrow.gateway.admission._permit_keeper import MIN_RATE_PER_S, PermitKeeper
+from waxwingbarrow.gateway.base._model import ResponseMetadata
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
+from waxwingbarrow.gateway.upstreams._notices import (
     REPORT_TOLERANCE_MS,
     RETENTION_MS,
     UpstreamNotices,
 )
-from waxwingbarrow.gateway._permit_keeper import MIN_RATE_PER_S, PermitKeeper
 
 PROCESS = (UpstreamId("u1"), 5)
 STEP_MS = 50
--- a/libs/gateway/tests/test_placement_load.py
+++ b/libs/gateway/tests/test_placement_load.py
@@ -12,18 +12,18 @@
 import pytest
 
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.admission._permit_keeper import PermitKeeper
+from waxwingbarrow.gateway.admission._placements import PlacementAdviser
+from waxwingbarrow.gateway.base._model import Engine, UpstreamEntry
+from waxwingbarrow.gateway.messages._messages import (
     MESSAGE_FORMAT,
     AttemptOutcome,
     AttemptReport,
     PlacementQuery,
 )
-from waxwingbarrow.gateway._model import Engine, UpstreamEntry
-from waxwingbarrow.gateway._peer_sync import ALL_OTHERS
-from waxwingbarrow.gateway._permit_keeper import PermitKeeper
-from waxwingbarrow.gateway._placements import PlacementAdviser
-from waxwingbarrow.gateway._upstreams import Load
+from waxwingbarrow.gateway.peers._peer_sync import ALL_OTHERS
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
+from waxwingbarrow.gateway.upstreams._upstreams import Load
 from waxwingbarrow.routing import (
     PlacementPolicy,
     PromptPart,
--- a/libs/gateway/tests/test_quota_admission.py
+++ b/libs/gateway/tests/test_quota_admission.py
@@ -10,16 +10,16 @@
 import pytest
 
 from waxwingbarrow.core import AccountId, HostId, ManualClock
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.admission._quota_admission import Charge, QuotaAdmission
+from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
+from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.base._model import Account
+from waxwingbarrow.gateway.messages._messages import (
     MESSAGE_FORMAT,
     Heartbeat,
     QuotaReply,
     QuotaRequest,
 )
-from waxwingbarrow.gateway._model import Account
-from waxwingbarrow.gateway._quota_admission import Charge, QuotaAdmission
-from waxwingbarrow.gateway._quota_keeper import QuotaKeeper
-from waxwingbarrow.gateway._quotas import Quotas
 
 NAME = AccountId("large")
 RATE_PER_S = 36_000.0
--- a/libs/gateway/tests/test_quotas.py
+++ b/libs/gateway/tests/test_quotas.py
@@ -6,8 +6,8 @@
 import pytest
 
 from waxwingbarrow.core import AccountId, HostId, Instant
-from waxwingbarrow.gateway._model import Account
-from waxwingbarrow.gateway._quotas import Quotas
+from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.base._model import Account
 
 NAME = AccountId("large")
 RATE_PER_S = 1_000.0
--- a/libs/gateway/tests/test_relays.py
+++ b/libs/gateway/tests/test_relays.py
@@ -6,14 +6,18 @@
 import random
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
-from waxwingbarrow.gateway._messages import (
+from waxwingbarrow.gateway.messages._messages import (
     MESSAGE_FORMAT,
     Heartbeat,
     RelaySummary,
     decode_message,
     encode_message,
 )
-from waxwingbarrow.gateway._relays import RelayAggregator, RelaySelector, rank_relays
+from waxwingbarrow.gateway.peers._relays import (
+    RelayAggregator,
+    RelaySelector,
+    rank_relays,
+)
 
 CENTRE = DataCentre("a")
 NOW = Instant(0, 0)
--- a/libs/gateway/tests/test_replaced_hosts.py
+++ b/libs/gateway/tests/test_replaced_hosts.py
@@ -10,15 +10,15 @@
 
 from waxwingbarrow.core import HostId, ManualClock
 from waxwingbarrow.gateway import KeyedPage, KeyedRecord
-from waxwingbarrow.gateway._members import FORGET_TIMEOUT_MS, Member, Members
-from waxwingbarrow.gateway._registrations import Registrations, read_host
-from waxwingbarrow.gateway._relays import (
+from waxwingbarrow.gateway.configuration._registrations import Registrations, read_host
+from waxwingbarrow.gateway.peers._members import FORGET_TIMEOUT_MS, Member, Members
+from waxwingbarrow.gateway.peers._relays import (
     MAX_SILENCES,
     RELAY_TIMEOUT_MS,
     RelaySelector,
     rank_relays,
 )
-from waxwingbarrow.gateway._replica import Replica
+from waxwingbarrow.gateway.replication._replica import Replica
 
 ENDED = 24
 CENTRE = "dc0"
--- a/libs/gateway/tests/test_replica_fetcher.py
+++ b/libs/gateway/tests/test_replica_fetcher.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from waxwingbarrow.gateway._ports import KeyedPage, KeyedRecord, Topic
-from waxwingbarrow.gateway._replica import Replica
-from waxwingbarrow.gateway._replica_fetcher import (
+from waxwingbarrow.gateway.base._ports import KeyedPage, KeyedRecord, Topic
+from waxwingbarrow.gateway.replication._replica import Replica
+from waxwingbarrow.gateway.replication._replica_fetcher import (
     decode_listing,
     decode_offsets,
     encode_listing,
--- a/libs/gateway/tests/test_replicated_state.py
+++ b/libs/gateway/tests/test_replicated_state.py
@@ -23,9 +23,9 @@
     RolloutStatus,
     UpstreamEntry,
 )
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._replica import Replica
-from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.gateway.replication._replica import Replica
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 from waxwingbarrow.rollout import CanaryPolicy
 
 POOL = ServiceName("pool")
--- a/libs/gateway/tests/test_retry_budgets.py
+++ b/libs/gateway/tests/test_retry_budgets.py
@@ -1,8 +1,8 @@
 """Guards against more retries than the budget allows all hosts together."""
 
 from waxwingbarrow.core import Instant, ServiceName
-from waxwingbarrow.gateway._retry_budgets import RetryBudgets
-from waxwingbarrow.gateway._settings import Bounds
+from waxwingbarrow.gateway.base._settings import Bounds
+from waxwingbarrow.gateway.requests._retry_budgets import RetryBudgets
 
 SERVICE = ServiceName("desk")
 NOW = Instant(0, 0)
--- a/libs/gateway/tests/test_rollout_records.py
+++ b/libs/gateway/tests/test_rollout_records.py
@@ -8,10 +8,10 @@
 from result import Ok
 
 from waxwingbarrow.core import Instant, RouteName, ServiceName, VersionName
-from waxwingbarrow.gateway._duties import Lease
-from waxwingbarrow.gateway._duty_tasks import RolloutTask
-from waxwingbarrow.gateway._model import RolloutOrder, RolloutState
-from waxwingbarrow.gateway._rollouts import Rollouts
+from waxwingbarrow.gateway.base._model import RolloutOrder, RolloutState
+from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.duties._duty_tasks import RolloutTask
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
 from waxwingbarrow.rollout import CanaryPolicy
 
 POOL, OLD, NEW = ServiceName("pool"), VersionName("v1"), VersionName("v2")
--- a/libs/gateway/tests/test_scaling.py
+++ b/libs/gateway/tests/test_scaling.py
@@ -18,11 +18,11 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway._duties import Lease
-from waxwingbarrow.gateway._fleet import Fleet
-from waxwingbarrow.gateway._model import Scaling, Service, UpstreamEntry
-from waxwingbarrow.gateway._scaling import ScalingTask
-from waxwingbarrow.gateway._work_meter import WorkMeter
+from waxwingbarrow.gateway.base._model import Scaling, Service, UpstreamEntry
+from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.duties._scaling import ScalingTask
+from waxwingbarrow.gateway.requests._work_meter import WorkMeter
+from waxwingbarrow.gateway.upstreams._fleet import Fleet
 
 POOL = ServiceName("pool")
 CENTRES = [DataCentre("a"), DataCentre("b"), DataCentre("c")]
--- a/libs/gateway/tests/test_supervision.py
+++ b/libs/gateway/tests/test_supervision.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from waxwingbarrow.gateway import _supervision
-from waxwingbarrow.gateway._metrics import Metrics
-from waxwingbarrow.gateway._supervision import Supervisor
+from waxwingbarrow.gateway.base import _supervision
+from waxwingbarrow.gateway.base._metrics import Metrics
+from waxwingbarrow.gateway.base._supervision import Supervisor
 
 
 @pytest.fixture
