Estimate the speed of engines from their response times

Cause: placement, admission and capacity planning use the figures of one data sheet, 55 prompt tokens per ms and 0.101 ms per output token, for all engines.

EngineEstimator fits the time of a prompt and of a decoding step by service, with fading sums, and a lasting and a passing slowdown by engine. The tracker of the backlog tells when the time of a prompt is known: from an idle engine, or between two first events of a busy one.

--- a/libs/routing/src/waxwingbarrow/routing/__init__.py
+++ b/libs/routing/src/waxwingbarrow/routing/__init__.py
@@ -22,6 +22,13 @@
     choose_worker,
     estimate_start_ms,
 )
+from waxwingbarrow.routing._estimates import (
+    DecodingTime,
+    EngineEstimator,
+    EngineSpeed,
+    EstimatePolicy,
+    PrefillTime,
+)
 from waxwingbarrow.routing._health import (
     HealthPolicy,
     HealthRegistry,
@@ -51,6 +58,10 @@
     "CacheEventKind",
     "CrashSuspects",
     "CrashSuspicion",
+    "DecodingTime",
+    "EngineEstimator",
+    "EngineSpeed",
+    "EstimatePolicy",
     "HealthPolicy",
     "HealthRegistry",
     "HealthState",
@@ -58,6 +69,7 @@
     "PartIndex",
     "Placement",
     "PlacementPolicy",
+    "PrefillTime",
     "PrefixIndex",
     "PromptPart",
     "ReclaimPolicy",
--- a/libs/routing/src/waxwingbarrow/routing/_backlog.py
+++ b/libs/routing/src/waxwingbarrow/routing/_backlog.py
@@ -7,11 +7,12 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Container, Hashable
+from collections.abc import Callable, Container, Hashable
 
 import attrs
 
 from waxwingbarrow.core import Instant, UpstreamId, in_range
+from waxwingbarrow.routing._estimates import PrefillTime
 
 
 @attrs.frozen(kw_only=True)
@@ -59,10 +60,27 @@
 
 @attrs.frozen
 class _Placed:
-    """A request without a first event: when it was placed, and its expected time."""
+    """A request without a first event.
+
+    Parameters
+    ----------
+    placed_ms : int
+        Monotonic time at which it was placed.
+    expected_ms : float
+        Expected time to its first event.
+    prefill_tokens : int
+        Its prompt tokens that are not cached.
+    is_first : bool
+        Whether no other request waited for its first event.
+    has_slot : bool
+        Whether a slot was free.
+    """
 
     placed_ms: int
     expected_ms: float
+    prefill_tokens: int
+    is_first: bool
+    has_slot: bool
 
 
 @attrs.define
@@ -81,6 +99,9 @@
         Requests without a first event by key, the oldest first.
     recent_ms : deque
         Monotonic times of the placements that reports of load may not contain yet.
+    free_ms : int or None
+        Monotonic time of the newest first event; None if a request failed since then,
+        so that it is not known when the engine began the next prompt.
     """
 
     slowdown: float
@@ -90,11 +111,18 @@
     last_event_ms: int = -1
     waiting: OrderedDict[Hashable, _Placed] = attrs.Factory(OrderedDict)
     recent_ms: deque[int] = attrs.Factory(deque)
+    free_ms: int | None = None
 
 
 class BacklogTracker:
     """Tracks the backlog and the speed of each engine from the requests placed at it.
 
+    Parameters
+    ----------
+    find_usual_slowdown : callable
+        Returns the usual slowdown of the engines of an upstream's service; None if it
+        is not known, and the average of all engines is used.
+
     Examples
     --------
     >>> tracker = BacklogTracker(BacklogPolicy(prefill_tokens_per_ms=50.0))
@@ -102,18 +130,32 @@
     >>> tracker.record(engine, "request 1", 10_000, Instant(0, 0))
     >>> tracker.measure_pending_tokens(engine, Instant(40, 40))
     8000.0
-    >>> tracker.note_first_event(engine, "request 1", Instant(425, 425))
+    >>> tracker.note_first_event(engine, "request 1", Instant(425, 425)).elapsed_ms
+    425
     >>> round(tracker.measure_slowdown(engine, Instant(425, 425)), 2)
     1.2
     """
 
-    def __init__(self, policy: BacklogPolicy) -> None:
+    def __init__(
+        self,
+        policy: BacklogPolicy,
+        find_usual_slowdown: Callable[[UpstreamId, Instant], float | None] = (
+            lambda upstream, now: None
+        ),
+    ) -> None:
         self._policy = policy
+        self._find_usual_slowdown = find_usual_slowdown
         self._backlogs: dict[UpstreamId, _Backlog] = {}
         self._usual_slowdown = 1.0
 
     def record(
-        self, upstream: UpstreamId, key: Hashable, prefill_tokens: int, now: Instant
+        self,
+        upstream: UpstreamId,
+        key: Hashable,
+        prefill_tokens: int,
+        now: Instant,
+        *,
+        has_slot: bool = True,
     ) -> None:
         """Record a request that is being sent to an engine.
 
@@ -123,29 +165,40 @@
             Identifies the request in later calls.
         prefill_tokens : int
             Prompt tokens that the engine has not cached.
+        has_slot : bool
+            Whether the engine has a free slot, so that the prompt waits for other
+            prompts only.
         """
         pending_tokens = self.measure_pending_tokens(upstream, now) + prefill_tokens
         backlog = self._backlogs.get(upstream)
         if backlog is None:
-            backlog = _Backlog(self._usual_slowdown, now.mono_ms, now.mono_ms)
+            usual = self._measure_usual(upstream, now)
+            backlog = _Backlog(usual, now.mono_ms, now.mono_ms)
             self._backlogs[upstream] = backlog
         backlog.pending_tokens = pending_tokens
         backlog.updated_ms = now.mono_ms
         backlog.recent_ms.append(now.mono_ms)
         expected_ms = pending_tokens / self._policy.prefill_tokens_per_ms
-        backlog.waiting[key] = _Placed(now.mono_ms, expected_ms)
+        backlog.waiting[key] = _Placed(
+            now.mono_ms, expected_ms, prefill_tokens, not backlog.waiting, has_slot
+        )
 
     def note_first_event(
         self, upstream: UpstreamId, key: Hashable, now: Instant
-    ) -> None:
-        """Record that a request got its first event, and learn the engine's speed."""
+    ) -> PrefillTime | None:
+        """Record that a request got its first event, and learn the engine's speed.
+
+        Returns the time of the prompt, if it is known when the engine began it.
+        """
         backlog = self._backlogs.get(upstream)
         placed = backlog.waiting.pop(key, None) if backlog is not None else None
         if backlog is None or placed is None:
-            return
+            return None
+        time = _measure_prefill(backlog, placed, 2 * self._policy.fixed_ms, now)
+        backlog.free_ms = now.mono_ms
         backlog.last_event_ms = max(backlog.last_event_ms, placed.placed_ms)
         if placed.expected_ms < self._policy.min_expected_ms:
-            return
+            return time
         waited_ms = now.mono_ms - placed.placed_ms - self._policy.fixed_ms
         observed = min(
             max(waited_ms, 0.0) / placed.expected_ms, self._policy.max_slowdown
@@ -156,23 +209,28 @@
         # Each engine has about the same influence as in an average over all engines.
         weight = self._policy.slowdown_weight / len(self._backlogs)
         self._usual_slowdown += weight * (observed - self._usual_slowdown)
+        return time
 
     def note_failure(self, upstream: UpstreamId, key: Hashable) -> None:
         """Record that a request ended without a first event."""
         backlog = self._backlogs.get(upstream)
-        if backlog is not None:
-            backlog.waiting.pop(key, None)
+        if backlog is not None and backlog.waiting.pop(key, None) is not None:
+            backlog.free_ms = None
 
     def measure_slowdown(self, upstream: UpstreamId, now: Instant) -> float:
         """Return the time to prefill at an engine as a multiple of the expected one."""
         backlog = self._backlogs.get(upstream)
+        usual = self._measure_usual(upstream, now)
         if backlog is None:
-            return self._usual_slowdown
+            return usual
         age_ms = now.mono_ms - backlog.slowdown_ms
         weight = 0.5 ** (age_ms / self._policy.slowdown_half_life_ms)
-        usual = self._usual_slowdown
         return usual + (backlog.slowdown - usual) * weight
 
+    def _measure_usual(self, upstream: UpstreamId, now: Instant) -> float:
+        usual = self._find_usual_slowdown(upstream, now)
+        return self._usual_slowdown if usual is None else usual
+
     def measure_pending_tokens(self, upstream: UpstreamId, now: Instant) -> float:
         """Return the prompt tokens that an engine has still to prefill."""
         backlog = self._backlogs.get(upstream)
@@ -223,3 +281,31 @@
     def clear(self) -> None:
         """Forget all placements, because another host places the requests now."""
         self._backlogs.clear()
+
+
+def _measure_prefill(
+    backlog: _Backlog, placed: _Placed, margin_ms: float, now: Instant
+) -> PrefillTime | None:
+    """Return the time that the engine took for a prompt that got its first event.
+
+    Parameters
+    ----------
+    margin_ms : float
+        A prompt placed this long before the first event of the one before it has
+        reached the engine while that was busy.
+    """
+    if not placed.has_slot:
+        return None
+    if placed.is_first:
+        begun_ms, from_idle = placed.placed_ms, True
+    elif (
+        backlog.free_ms is not None and backlog.free_ms - placed.placed_ms >= margin_ms
+    ):
+        begun_ms, from_idle = backlog.free_ms, False
+    else:
+        return None
+    return PrefillTime(
+        tokens=placed.prefill_tokens,
+        elapsed_ms=now.mono_ms - begun_ms,
+        from_idle=from_idle,
+    )
