--- a/libs/routing/src/waxwingbarrow/routing/__init__.py
+++ b/libs/routing/src/waxwingbarrow/routing/__init__.py
@@ -14,6 +14,12 @@
     UpstreamIncarnation,
     find_culprits,
 )
+from waxwingbarrow.routing._engine_speeds import (
+    DecodingTime,
+    EngineSpeed,
+    EstimatePolicy,
+    PrefillTime,
+)
 from waxwingbarrow.routing._engines import (
     Placement,
     PlacementPolicy,
@@ -22,6 +28,7 @@
     choose_worker,
     estimate_start_ms,
 )
+from waxwingbarrow.routing._estimates import EngineEstimator
 from waxwingbarrow.routing._health import (
     HealthPolicy,
     HealthRegistry,
@@ -51,6 +58,10 @@
     "CacheEventKind",
     "CrashSuspects",
     "CrashSuspicion",
+    "DecodingTime",
+    "EngineEstimator",
+    "EngineSpeed",
+    "EstimatePolicy",
     "HealthPolicy",
     "HealthRegistry",
     "HealthState",
@@ -58,6 +69,7 @@
     "PartIndex",
     "Placement",
     "PlacementPolicy",
+    "PrefillTime",
     "PrefixIndex",
     "PromptPart",
     "ReclaimPolicy",
