Decide by urgency and fair shares while engines are scarce

Requests of all priorities and accounts are admitted alike until they cannot start in time, and all refused callers return after 0.3 s. `RoomAdmission` decides for one service: less urgent classes, and accounts that ask for more than their share, stop at a shorter backlog of the engines. What stops there waits or is refused, and room is reserved for its return. Nothing uses it yet.

Run: pytest libs/limits (100 passed), make lint types (clean).

--- a/libs/limits/src/waxwingbarrow/limits/__init__.py
+++ b/libs/limits/src/waxwingbarrow/limits/__init__.py
@@ -14,6 +14,16 @@
 from waxwingbarrow.limits._estimates import Estimate, check_deadline
 from waxwingbarrow.limits._proportions import compute_proportional_share
 from waxwingbarrow.limits._queue import FairQueue, QueueItem
+from waxwingbarrow.limits._room import (
+    FreeCapacity,
+    RefuseUntil,
+    RoomAdmission,
+    RoomPolicy,
+    RoomRequest,
+    RoomVerdict,
+    ServeNow,
+    WaitFor,
+)
 from waxwingbarrow.limits._shares import PeerDemand, SharePolicy, compute_share
 
 __all__ = [
@@ -27,11 +37,19 @@
     "DequeueResult",
     "Estimate",
     "FairQueue",
+    "FreeCapacity",
     "PeerDemand",
     "QueueItem",
+    "RefuseUntil",
     "RefusedAdmission",
+    "RoomAdmission",
+    "RoomPolicy",
+    "RoomRequest",
+    "RoomVerdict",
+    "ServeNow",
     "SharePolicy",
     "TokenBucket",
+    "WaitFor",
     "check_deadline",
     "compute_proportional_share",
     "compute_share",
