Admit requests to model engines by urgency

All requests that could start in time were placed, so low-priority ones filled the engines ahead of urgent ones. With `admission.by_urgency` the quota keeper decides with `RoomAdmission` when it places a request; its query carries priority, account, objective and promise. A host without an answer decides alone by its share of the engines, before the first attempt. Requests wait in their own task, at most 256 and 8 MB per host; a caller that leaves ends the wait. What the keeper refuses it refunds at once; what waits stays charged once and is refunded by its host if it is refused or left. Retries and streams that go on are never held. Off by default.

Ruled out: charging again at each question, since a request that passed its quota could get 429 after a wait; a queue at the keeper, which would be lost with it.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -24,6 +24,7 @@
     QuotaAdmission,
     QuotaKeeper,
     Quotas,
+    ServiceRooms,
 )
 from waxwingbarrow.gateway.base import (
     BootClock,
@@ -72,6 +73,7 @@
     Planner,
     RetryBudgets,
     Rollouts,
+    RoomGate,
     StreamMover,
     UsageCounter,
     WorkMeter,
@@ -184,12 +186,27 @@
             lambda now: self._peer_protocol.count_hosts(now),
         )
         policy = PlacementPolicy(data_centre=data_centre)
+        # What this host decides as the keeper, for all hosts, and alone, for itself.
+        keeper_rooms: ServiceRooms | None = None
+        room_gate: RoomGate | None = None
+        if settings.admission.by_urgency:
+            keeper_rooms = ServiceRooms(settings.admission, self._rng)
+            room_gate = RoomGate(
+                ServiceRooms(settings.admission, self._rng),
+                self._quota_admission,
+                self._work_meter,
+                metrics,
+                clock,
+                lambda now: self._peer_protocol.count_hosts(now),
+                policy,
+            )
         self._placement_adviser = PlacementAdviser(
             self._fleet,
             policy,
             self._rng,
             lambda service: self._planner.find_engine(service),
             self._permits.keeper,
+            keeper_rooms,
         )
         self._planner = Planner(
             codec,
@@ -203,6 +220,7 @@
             self._rng,
             lambda now: self._change_applier.measure_upstreams_age_ms(now),
             self._permits,
+            room_gate,
         )
         self._change_applier = ChangeApplier(
             codec,
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/__init__.py
@@ -6,21 +6,31 @@
     PlacementAdviser,
 )
 from waxwingbarrow.gateway.admission._quota_admission import (
+    Admission,
     AdviceSource,
     Charge,
+    OverLimit,
     QuotaAdmission,
 )
 from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.admission._service_rooms import (
+    ServiceRooms,
+    measure_capacity,
+)
 
 __all__ = [
     "STAND_IN_SHARE",
+    "Admission",
     "AdviceSource",
     "AttemptReporter",
     "Charge",
+    "OverLimit",
     "Permits",
     "PlacementAdviser",
     "QuotaAdmission",
     "QuotaKeeper",
     "Quotas",
+    "ServiceRooms",
+    "measure_capacity",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
@@ -17,6 +17,10 @@
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
 from waxwingbarrow.gateway.admission._permit_keeper import PermitKeeper
 from waxwingbarrow.gateway.admission._quota_admission import AdviceSource, RequestKey
+from waxwingbarrow.gateway.admission._service_rooms import (
+    ServiceRooms,
+    measure_capacity,
+)
 from waxwingbarrow.gateway.base import Engine
 from waxwingbarrow.gateway.messages import (
     MESSAGE_FORMAT,
@@ -24,6 +28,7 @@
     AttemptReport,
     PlacementAdvice,
     PlacementQuery,
+    RoomDecision,
 )
 from waxwingbarrow.gateway.upstreams import Fleet, Upstream
 from waxwingbarrow.routing import (
@@ -45,6 +50,9 @@
         Its data centre is replaced by that of the host that asks.
     find_engine : callable
         Returns the properties of a service's engines; None if they are not known.
+    rooms : ServiceRooms or None
+        Decides which requests are served while engines are scarce; None if all are that
+        can start in time.
     """
 
     def __init__(
@@ -54,12 +62,14 @@
         rng: random.Random,
         find_engine: Callable[[ServiceName], Engine | None],
         permit_keeper: PermitKeeper,
+        rooms: ServiceRooms | None = None,
     ) -> None:
         self._fleet = fleet
         self._permit_keeper = permit_keeper
         self._policy = policy
         self._rng = rng
         self._find_engine = find_engine
+        self._rooms = rooms
         self._backlog = BacklogTracker(
             BacklogPolicy(prefill_tokens_per_ms=policy.prefill_tokens_per_ms)
         )
@@ -69,7 +79,8 @@
     ) -> PlacementAdvice | None:
         """Choose an upstream for a request and count the request there.
 
-        A request that cannot start in time is not counted, because it is not sent.
+        A request that cannot start in time, waits or is refused is not counted, because
+        it is not sent.
         Returns None if no upstream can be used.
 
         Parameters
@@ -104,6 +115,13 @@
         placement = chosen.ok_value
         view = placement.view
         is_placed = placement.start_ms <= query.latest_start_ms
+        room = None
+        if self._rooms is not None and query.room is not None:
+            capacity = measure_capacity(placement, views, query.prompt_tokens, policy)
+            room = self._rooms.decide(
+                service, query.room, query.latest_start_ms, capacity, now
+            )
+            is_placed = room.decision is RoomDecision.SERVE
         if is_placed:
             process = self._fleet.upstreams[view.upstream].process
             self._permit_keeper.take(process, now)
@@ -119,6 +137,7 @@
             view.running,
             placement.candidates,
             is_placed,
+            room,
         )
 
     def note_attempt(self, report: AttemptReport, sender: str, now: Instant) -> None:
@@ -152,6 +171,8 @@
     def reset(self) -> None:
         """Forget all placements, because another host places the requests now."""
         self._backlog.clear()
+        if self._rooms is not None:
+            self._rooms.reset()
 
 
 class AttemptReporter:
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_quota_admission.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_quota_admission.py
@@ -226,10 +226,12 @@
             charge = Charge.NOWHERE
         else:
             self._quotas.note_keeper_decision(limited, cost, reply.admitted, now)
-            if not reply.admitted:
+            if not reply.admitted and not _is_refused(reply):
                 decided_by = address or "keeper"
                 return Err(OverLimit(reply.retry_after_s, decided_by, reply.left))
             charge = Charge.OTHER_KEEPER if address else Charge.OWN_KEEPER
+            if not reply.admitted:
+                charge = Charge.NOWHERE
         source = AdviceSource(address, reply.number)
         return Ok(Admission(charge, reply.placement, source))
 
@@ -296,7 +298,12 @@
             left = self._keeper.measure_left(name, now)
             return QuotaReply(MESSAGE_FORMAT, number, True, False, retry_after_s, left)
         advice = self._advise(query, key, now) if query is not None else None
-        return QuotaReply(MESSAGE_FORMAT, number, True, True, placement=advice)
+        is_refused = advice is not None and advice.is_refused
+        if is_refused:
+            self._keeper.refund(name, cost, now)
+        return QuotaReply(
+            MESSAGE_FORMAT, number, True, not is_refused, placement=advice
+        )
 
     def charge_local_admissions(self, heartbeat: Heartbeat, now: Instant) -> None:
         """Charge, as the keeper, what a host has admitted by its own share."""
@@ -354,3 +361,7 @@
         # Answers that arrive after thousands of further requests are ignored.
         while len(self._pending) > MAX_PENDING:
             del self._pending[next(iter(self._pending))]
+
+
+def _is_refused(reply: QuotaReply) -> bool:
+    return reply.placement is not None and reply.placement.is_refused
--- a/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
@@ -72,6 +72,7 @@
     describe_failure,
 )
 from waxwingbarrow.gateway.base._settings import (
+    AdmissionSettings,
     Bounds,
     CloudSettings,
     GatewaySettings,
@@ -88,6 +89,7 @@
     "MAX_NUMBER",
     "MAX_PORT",
     "Account",
+    "AdmissionSettings",
     "Backend",
     "BootClock",
     "BoundedFloat",
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -132,6 +132,24 @@
     exposure_slack: float = 50.0
 
 
+@attrs.frozen(kw_only=True)
+class AdmissionSettings:
+    """Admission of requests to model engines while these are scarce.
+
+    Parameters
+    ----------
+    by_urgency : bool
+        Whether requests are served by priority and by fair shares of the accounts;
+        otherwise all are that can start in time.
+    scarce_share : float
+        Engines are scarce for a request if its estimated start takes more than this
+        fraction of its objective.
+    """
+
+    by_urgency: bool = False
+    scarce_share: float = attrs.field(default=0.5, validator=in_range(0.01, 1.0))
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """All settings of a gateway.
@@ -159,6 +177,8 @@
         Port of the metrics page; 0 disables it.
     log_level : str
         Lowest level of the log lines that are written, such as "INFO".
+    admission : AdmissionSettings
+        Admission of requests while engines are scarce.
     """
 
     host_id: str
@@ -176,6 +196,7 @@
     bounds: Bounds = Bounds()
     metrics_port: int = attrs.field(default=9_464, validator=in_range(0, 65_535))
     log_level: str = attrs.field(default="INFO", validator=_check_log_level)
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 def read_settings(path: Path) -> Result[GatewaySettings, FieldInvalid]:
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/__init__.py
@@ -17,6 +17,7 @@
     decode_message,
     encode_message,
 )
+from waxwingbarrow.gateway.messages._room import RoomAnswer, RoomDecision, RoomQuery
 
 __all__ = [
     "MESSAGE_FORMAT",
@@ -33,6 +34,9 @@
     "QuotaRequest",
     "Reassembler",
     "RelaySummary",
+    "RoomAnswer",
+    "RoomDecision",
+    "RoomQuery",
     "decode_message",
     "encode_message",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -13,6 +13,7 @@
     Unsigned64,
     decode_with,
 )
+from waxwingbarrow.gateway.messages._room import RoomAnswer, RoomDecision, RoomQuery
 from waxwingbarrow.gateway.upstreams import NoticeReport, PartLosses, UpstreamProcess
 
 # Version of the message format; messages of another version are ignored.
@@ -173,6 +174,8 @@
         Version that the upstream must have; empty if any may be used.
     excluded_versions, avoided_upstreams : list
         Versions and upstreams that must not be used.
+    room : RoomQuery or None
+        Set if the request is to be admitted by urgency.
     """
 
     service: str
@@ -184,6 +187,7 @@
     version: str = ""
     excluded_versions: list[str] = []
     avoided_upstreams: list[str] = []
+    room: RoomQuery | None = None
 
 
 class PlacementAdvice(msgspec.Struct, array_like=True, frozen=True):
@@ -203,6 +207,8 @@
         Number of upstreams that could be used.
     is_permitted : bool
         Whether a permit was taken, if the upstream limits its requests.
+    room : RoomAnswer or None
+        Whether the request is served, if the query asked for it and the sender decides.
     """
 
     upstream: str
@@ -211,6 +217,12 @@
     running: BoundedInt
     candidates: BoundedInt
     is_permitted: bool = False
+    room: RoomAnswer | None = None
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request must not be served."""
+        return self.room is not None and self.room.decision is RoomDecision.REFUSE
 
 
 class AttemptOutcome(enum.IntEnum):
@@ -290,7 +302,8 @@
     is_keeper : bool
         Whether the sender decides for all hosts; otherwise nothing was charged.
     admitted : bool
-        Whether enough quota was left and the cost was charged.
+        Whether enough quota was left and the cost was charged. Nothing is charged for
+        a request that `placement` refuses.
     retry_after_s : float or None
         Time until enough quota will be left; only set if too little is.
     left : float or None
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/__init__.py
@@ -5,6 +5,7 @@
 from waxwingbarrow.gateway.requests._planner import Planner
 from waxwingbarrow.gateway.requests._retry_budgets import RetryBudgets
 from waxwingbarrow.gateway.requests._rollouts import Rollout, Rollouts
+from waxwingbarrow.gateway.requests._room_gate import RoomGate
 from waxwingbarrow.gateway.requests._routes import RouteTable
 from waxwingbarrow.gateway.requests._usage import UsageCounter
 from waxwingbarrow.gateway.requests._work_meter import WorkMeter
@@ -15,6 +16,7 @@
     "RetryBudgets",
     "Rollout",
     "Rollouts",
+    "RoomGate",
     "RouteTable",
     "StreamMover",
     "UsageCounter",
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -350,10 +350,16 @@
     async def _select_upstream(
         self, plan: Plan
     ) -> tuple[Upstream, Placement] | Refused:
-        """Choose an upstream that accepts the request; see `Planner.acquire_permit`."""
+        """Choose an upstream that accepts the request; see `Planner.acquire_permit`.
+
+        While engines are scarce, wait for room; see `RoomGate`.
+        """
+        gate = self._planner.room_gate
         while True:
             chosen = self._planner.select_upstream(plan, self._clock.now())
             if isinstance(chosen, Refused):
+                if gate is not None and await gate.wait(plan, chosen):
+                    continue
                 return chosen
             upstream, _ = chosen
             is_permitted = await self._planner.acquire_permit(plan, upstream)
@@ -393,14 +399,11 @@
         moved: Moved | None = None,
     ) -> ForwardingMetadata:
         account = plan.account
-        priority = plan.route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
         return ForwardingMetadata(
             upstream=upstream.entry.upstream,
             account=account.name if account else None,
             remaining_ms=max(plan.deadline.mono_ms - now.mono_ms, 1),
-            priority=priority if plan.metadata.has_token_counts else None,
+            priority=plan.priority if plan.metadata.has_token_counts else None,
             after_event=resume_after,
             memory_copy=moved.memory_copy if moved is not None else None,
         )
@@ -649,6 +652,8 @@
                 "upstreams_age_ms": trace.upstreams_age_ms,
                 "is_advised": trace.is_advised,
                 "first_event_ms": trace.first_event_ms,
+                "room_decided_by": trace.room_decided_by,
+                "room_wait_ms": trace.room_wait_ms,
             },
         )
 
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -17,7 +17,13 @@
     RequestTrace,
     make_fingerprints,
 )
+from waxwingbarrow.gateway.requests._refusals import (
+    RETRY_AFTER_SUSPECT_S,
+    check_size,
+    describe_quota,
+)
 from waxwingbarrow.gateway.requests._rollouts import Rollouts, VersionRule
+from waxwingbarrow.gateway.requests._room_gate import RoomGate
 from waxwingbarrow.gateway.requests._routes import (
     NoAccount,
     NoRoute,
@@ -40,7 +46,6 @@
 # a request away is likely to accept another.
 RETRY_AFTER_BUSY_S = 0.3
 RETRY_AFTER_NOT_READY_S = 0.5
-RETRY_AFTER_SUSPECT_S = 30.0
 # A model request needs time after its first token, so it is refused at once if it would
 # start later than this fraction of its remaining time.
 LATEST_START_FRACTION = 0.7
@@ -53,6 +58,8 @@
     ----------
     measure_upstreams_age_ms : callable
         Returns the age of the known registrations of upstreams, for the log.
+    room_gate : RoomGate or None
+        Admits requests by urgency; None if that is not enabled.
 
     Attributes
     ----------
@@ -75,6 +82,7 @@
         rng: random.Random,
         measure_upstreams_age_ms: Callable[[Instant], int | None],
         permits: Permits,
+        room_gate: RoomGate | None = None,
     ) -> None:
         self._codec = codec
         self._fleet = fleet
@@ -87,6 +95,7 @@
         self._rng = rng
         self._measure_upstreams_age_ms = measure_upstreams_age_ms
         self._permits = permits
+        self.room_gate = room_gate
         self.table: RouteTable | None = None
         self.stop_check = StopCheck()
 
@@ -121,8 +130,8 @@
         name = account.name if account else ""
         service = pick_service(route, metadata.request_id)
         fingerprints = make_fingerprints(call, name, service, metadata)
-        refused = self._check_suspicion(fingerprints, now) or self._check_size(
-            service, metadata
+        refused = self._check_suspicion(fingerprints, now) or check_size(
+            self.find_engine(service), metadata
         )
         if refused is not None:
             return refused
@@ -161,21 +170,11 @@
             return None
         return Refused(503, reason, RETRY_AFTER_SUSPECT_S)
 
-    def _check_size(
-        self, service: ServiceName, metadata: CallMetadata
-    ) -> Refused | None:
-        """Refuse a prompt that does not fit into the memory of any engine."""
-        engine = self.find_engine(service)
-        if engine is None or not engine.memory_tokens:
-            return None
-        if metadata.prompt_tokens <= engine.memory_tokens:
-            return None
-        return Refused(503, "larger than an engine's memory", RETRY_AFTER_SUSPECT_S)
-
     async def admit(self, plan: Plan, now: Instant) -> Refused | None:
         """Charge a request to its account; return a refusal if it is over the limit.
 
-        Waits only if another host decides on the account's limit or the placement.
+        Waits only if another host decides on the account's limit or the placement, or
+        for room at the engines.
         """
         query = self._make_query(plan, now)
         admitted = await self._quota_admission.admit(
@@ -183,13 +182,15 @@
         )
         if isinstance(admitted, Err):
             over = admitted.err_value
-            inputs = self._describe_quota(plan, now)
+            inputs = describe_quota(self._quotas, plan, now)
             inputs |= {"decided_by": over.decided_by, "keeper_left": over.left}
             return Refused(429, "over the limit", over.retry_after_s, inputs)
         admission = admitted.ok_value
         plan.charge = admission.charge
         plan.advice, plan.advice_source = admission.advice, admission.source
-        return None
+        if self.room_gate is None:
+            return None
+        return await self.room_gate.ask_until_decided(plan, self._make_query)
 
     def _make_query(self, plan: Plan, now: Instant) -> PlacementQuery | None:
         """Return what the keeper needs to place a request to a model engine."""
@@ -215,6 +216,7 @@
                 if self._fleet.is_suspect(upstream, now)
                 or self._fleet.is_deferred(upstream, now)
             ],
+            room=self.room_gate.make_query(plan) if self.room_gate else None,
         )
 
     def _find_rule(
@@ -224,16 +226,6 @@
         request_id = plan.metadata.request_id
         return self._rollouts.find_rule(service, request_id, known_versions)
 
-    def _describe_quota(self, plan: Plan, now: Instant) -> dict[str, object]:
-        account = plan.account
-        state = self._quotas.describe(account, now) if account is not None else None
-        return {
-            "route": plan.route.name,
-            "account": account.name if account is not None else "",
-            "cost": plan.cost,
-            **(attrs.asdict(state) if state is not None else {}),
-        }
-
     def select_upstream(
         self, plan: Plan, now: Instant
     ) -> tuple[Upstream, Placement] | Refused:
@@ -261,7 +253,7 @@
         if allowed and not eligible:
             return_s = self.plan_return_s(plan, now)
             return Refused(503, "upstreams accept no more requests", return_s)
-        placement = self._follow_advice(plan, eligible, engine, now)
+        placement, views = self._follow_advice(plan, eligible, engine, now), None
         work = RequestSize(
             prompt_tokens=metadata.prompt_tokens,
             output_tokens=metadata.max_output_tokens,
@@ -276,13 +268,19 @@
             plan.is_work_counted = True
             work_ms = estimate_work_ms(metadata, placement.view.cached_tokens)
             self._work_meter.add(service, work_ms, now)
-            if engine is not None and metadata.has_token_counts:
-                # The time that a slow engine is known to need would hide its slowness.
-                at_normal_speed = attrs.evolve(placement.view, slowdown=1.0)
-                plan.expected_start_ms = estimate_start_ms(
-                    at_normal_speed, work, self._policy
-                )
+        is_model_request = engine is not None and metadata.has_token_counts
+        if plan.expected_start_ms is None and is_model_request:
+            # The time that a slow engine is known to need would hide its slowness.
+            at_normal_speed = attrs.evolve(placement.view, slowdown=1.0)
+            plan.expected_start_ms = estimate_start_ms(
+                at_normal_speed, work, self._policy
+            )
         remaining_ms = plan.deadline.mono_ms - now.mono_ms
+        if self.room_gate is not None and engine is not None and views is not None:
+            latest_ms = remaining_ms * LATEST_START_FRACTION
+            held = self.room_gate.check(plan, service, placement, views, latest_ms, now)
+            if held is not None:
+                return held
         if placement.start_ms > remaining_ms * LATEST_START_FRACTION:
             wait_s = (placement.start_ms - remaining_ms * LATEST_START_FRACTION) / 1000
             return Refused(503, "cannot start in time", max(wait_s, 0.1))
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -35,6 +35,12 @@
         Whether the quota keeper chose the upstream.
     first_event_ms : int or None
         Time from the last attempt to its first event, for a stream.
+    room_decided_by : str
+        Address of the keeper that decided whether the request is served while engines
+        are scarce, "keeper" for this host as the keeper, "own share" for this host
+        without one; empty if that is not decided.
+    room_wait_ms : int
+        Time for which the request waited for room.
     """
 
     request_id: str
@@ -49,6 +55,8 @@
     upstreams_age_ms: int | None = None
     is_advised: bool = False
     first_event_ms: int | None = None
+    room_decided_by: str = ""
+    room_wait_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -88,6 +96,10 @@
         move continues the same run, so it does not count against the attempts allowed.
     tried_upstreams : set of UpstreamId
         Upstreams to which it was sent.
+    has_room : bool
+        Whether it was admitted while engines are scarce; see `RoomGate`.
+    promise : int
+        Number of the promise with which it waits for room; 0 if it does not.
     """
 
     call: Call
@@ -109,12 +121,21 @@
     delivered_attempts: int = 0
     moves: int = 0
     tried_upstreams: set[UpstreamId] = attrs.Factory(set)
+    has_room: bool = False
+    promise: int = 0
 
     @property
     def output_size(self) -> int:
         """Output tokens that the request allows; 1 for requests without tokens."""
         return max(self.metadata.max_output_tokens, 1)
 
+    @property
+    def priority(self) -> int:
+        """Priority of the account if it has one, otherwise of the route."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether the route allows one more attempt."""
@@ -135,12 +156,15 @@
         Value of Retry-After; None leaves the header out.
     inputs : dict
         Inputs of the decision, as fields for the log.
+    wait_ms : float or None
+        Time after which to decide again instead of refusing, if the request may wait.
     """
 
     status: int
     reason: str
     retry_after_s: float | None = None
     inputs: dict[str, object] = attrs.Factory(dict)
+    wait_ms: float | None = None
 
 
 def make_fingerprints(
