--- a/libs/limits/tests/test_room_load.py
+++ b/libs/limits/tests/test_room_load.py
@@ -56,6 +56,7 @@
     work_ms: float
     is_large: bool
     asked_ms: int = 0
+    number: int = 0
     returns: int = 0
     promise: int = 0
     was_promised: bool = False
@@ -88,6 +89,37 @@
     return RoomAdmission(RoomPolicy(**policy), random.Random(seed))
 
 
+class LostKeeper:
+    """A keeper that is lost after a time; the next one knows nothing of it."""
+
+    def __init__(self, at_ms):
+        self.at_ms = at_ms
+        self.rooms = [make_room(1), make_room(2)]
+
+    def decide(self, request, capacity, now):
+        return self.rooms[now.mono_ms >= self.at_ms].decide(request, capacity, now)
+
+
+class HostsAlone:
+    """Hosts that each decide for their own callers by their share of the engines.
+
+    Parameters
+    ----------
+    count_entered : callable
+        Returns at how many of the hosts the requests of an account enter.
+    """
+
+    def __init__(self, count, count_entered):
+        self.rooms = [make_room(seed) for seed in range(count)]
+        self.count_entered = count_entered
+
+    def decide(self, request, capacity, now):
+        host = request.request_hash % self.count_entered(request.account)
+        engines = capacity.engines / len(self.rooms)
+        share = attrs.evolve(capacity, engines=engines)
+        return self.rooms[host].decide(request, share, now)
+
+
 def draw(streams, rng):
     for stream in streams:
         at_ms = stream.from_s * 1000
@@ -113,6 +145,8 @@
     numbers = itertools.count()
     events = [(sent.at_ms, next(numbers), sent) for sent in draw(streams, rng)]
     requests = [sent for _, _, sent in events]
+    for number, sent in enumerate(requests, 1):
+        sent.number = number
     heapq.heapify(events)
     free_at_ms = [0.0] * engines
     pending_changes = sorted(changes)
@@ -131,7 +165,7 @@
                 objective_ms=stream.objective_ms,
                 latest_start_ms=remaining_ms * LATEST_START_FRACTION,
                 promise=sent.promise,
-                request_hash=id(sent),
+                request_hash=sent.number,
             ),
             FreeCapacity(
                 start_ms=wait_ms + sent.work_ms,
@@ -278,3 +312,28 @@
     after = run(make_room(), streams, seed=seed)
     assert measure_success(after) == 1.0
     assert not any(sent.waits_ms or sent.first_refusal for sent in after)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_requests_go_on_when_the_keeper_is_lost(seed):
+    """Its promises are forgotten; waiting and returning requests are new ones."""
+    streams = [
+        Stream(account="u", per_s=200, max_returns=3, **URGENT),
+        Stream(account="l", per_s=400, max_returns=3, **LOW),
+    ]
+    after = run(LostKeeper(10_000), streams, seed=seed)
+    assert measure_success(after, is_urgent) > 0.98
+
+
+@pytest.mark.parametrize("entered", [6, 2], ids=["at all hosts", "at two hosts"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hosts_without_a_keeper_contain_a_flood_together(seed, entered):
+    """They know the backlog of the engines, but only their own callers."""
+    usual = [
+        Stream(account=f"a{number}", per_s=40, max_returns=3, **URGENT)
+        for number in range(5)
+    ]
+    flood = Stream(account="flood", per_s=300, max_returns=3, **URGENT)
+    hosts = HostsAlone(6, lambda name: entered if name == "flood" else 6)
+    after = run(hosts, [*usual, flood], seed=seed)
+    assert measure_success(after, lambda sent: sent.stream is not flood) > 0.9
