Decide on hedged attempts from measured times and the retry budget

A request that is much slower than others of its route can be answered sooner by a second upstream. The decision is pure: delay, free slot, start before the first attempt is expected to end, gain for the objective. The remaining time of the first attempt is that of attempts that took at least as long, because the mean over all attempts is already exceeded by the delay. `RetryBudget` counts a hedge as a retry and sends it only while less than half of the budget is used, in the window and in the second, so failures always find the other half.

Ruled out: a separate budget, which would add to the retries that an upstream gets during a failure; `DurationMeter`, whose estimate is mean plus three deviations and counts only requests answered with 200.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_retry_budgets.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_retry_budgets.py
@@ -2,7 +2,7 @@
 
 from waxwingbarrow.core import Instant, ServiceName
 from waxwingbarrow.gateway.base import Bounds
-from waxwingbarrow.routing import RetryBudget
+from waxwingbarrow.routing import HedgeRefusal, RetryBudget
 
 # Fraction of the allowed retries that the hosts use. The rest is a margin, because they
 # do not know each other's retries.
@@ -42,6 +42,12 @@
         """Return whether a retry may be sent, and count it if so."""
         return self._find(service).try_spend(now)
 
+    def try_spend_hedge(
+        self, service: ServiceName, extra_share: float, now: Instant
+    ) -> HedgeRefusal | None:
+        """Count a hedge if one may be sent, otherwise return why not."""
+        return self._find(service).try_spend_hedge(extra_share, now)
+
     def _find(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/libs/routing/src/waxwingbarrow/routing/__init__.py
+++ b/libs/routing/src/waxwingbarrow/routing/__init__.py
@@ -28,6 +28,14 @@
     LeavingSource,
     UpstreamHealth,
 )
+from waxwingbarrow.routing._hedging import (
+    AttemptTimes,
+    HedgePolicy,
+    HedgeRefusal,
+    SlowAttempt,
+    compute_hedge_delay_ms,
+    find_hedge_refusal,
+)
 from waxwingbarrow.routing._parts import PartIndex, PromptPart
 from waxwingbarrow.routing._prefixes import CacheEvent, CacheEventKind, PrefixIndex
 from waxwingbarrow.routing._reclaims import (
@@ -45,6 +53,7 @@
 )
 
 __all__ = [
+    "AttemptTimes",
     "BacklogPolicy",
     "BacklogTracker",
     "CacheEvent",
@@ -54,6 +63,8 @@
     "HealthPolicy",
     "HealthRegistry",
     "HealthState",
+    "HedgePolicy",
+    "HedgeRefusal",
     "LeavingSource",
     "PartIndex",
     "Placement",
@@ -66,6 +77,7 @@
     "RetryBudget",
     "RouteRequest",
     "RoutingPolicy",
+    "SlowAttempt",
     "StreamState",
     "UpstreamChoice",
     "UpstreamHealth",
@@ -74,9 +86,11 @@
     "WorkerView",
     "choose_upstream",
     "choose_worker",
+    "compute_hedge_delay_ms",
     "decide_reclaim",
     "estimate_start_ms",
     "find_culprits",
+    "find_hedge_refusal",
     "hash_prefix",
     "select_subset",
 ]
--- a/libs/routing/src/waxwingbarrow/routing/_budget.py
+++ b/libs/routing/src/waxwingbarrow/routing/_budget.py
@@ -6,8 +6,11 @@
 import attrs
 
 from waxwingbarrow.core import Instant
+from waxwingbarrow.routing._hedging import HedgeRefusal
 
 BUCKET_MS = 1_000
+# Fraction of the budget that hedges may use; the rest is kept for retries of failures.
+HEDGE_FRACTION = 0.5
 
 
 @attrs.define
@@ -15,6 +18,7 @@
     number: int
     requests: int = 0
     retries: int = 0
+    hedges: int = 0
 
 
 class RetryBudget:
@@ -75,6 +79,36 @@
         bucket.retries += 1
         return True
 
+    def try_spend_hedge(self, extra_share: float, now: Instant) -> HedgeRefusal | None:
+        """Count a hedge if one may be sent, otherwise return why not.
+
+        A hedge is counted as a retry too, and may be sent only while retries and hedges
+        together use less than `HEDGE_FRACTION` of the budget, in the window and in the
+        current second.
+
+        Parameters
+        ----------
+        extra_share : float
+            Allowed hedges per request in the window.
+        """
+        bucket = self._get_current_bucket(now)
+        requests = sum(item.requests for item in self._buckets)
+        hedges = sum(item.hedges for item in self._buckets)
+        if hedges + 1 > extra_share * requests:
+            return HedgeRefusal.SHARE_USED
+        retries = sum(item.retries for item in self._buckets)
+        allowed = math.ceil(self._retry_ratio * requests) - 1
+        budget = max(self._min_retries, allowed)
+        per_bucket = math.ceil(budget / len(self._buckets))
+        if (
+            retries + 1 > HEDGE_FRACTION * budget
+            or bucket.retries + 1 > max(HEDGE_FRACTION * per_bucket, 1)
+            or not self.try_spend(now)
+        ):
+            return HedgeRefusal.RETRY_RESERVE
+        bucket.hedges += 1
+        return None
+
     def _get_current_bucket(self, now: Instant) -> _Bucket:
         number = now.mono_ms // BUCKET_MS
         while (
