Hedge slow repeatable requests, and connect faster where the settings say so

Callers waited for upstreams that stall for hundreds of milliseconds while others had free slots, and up to 0.6 s for each upstream that does not answer a connection attempt. With `hedging.extra_share` above 0 a second attempt runs beside one that is slower than `hedging.delay_factor` times the expected time; the first good response, or the stream with the first event, wins, and the other connection is reset. With `hedging.fast_connect` connecting takes at most a quarter of the route's objective. Both are off by default, and then no task, measurement or metric is added.

Jobs keep the source of their advice, since choosing the second upstream clears that of the plan before the first attempt has reported.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -234,6 +234,7 @@
                     report, address
                 ),
             ),
+            settings.hedging,
         )
         self._mover = StreamMover(
             self._planner, self._fleet, codec, clock, self._retry_budgets
--- a/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
@@ -26,7 +26,7 @@
 )
 from waxwingbarrow.gateway.base._logs import BoundedHandler, configure_logs
 from waxwingbarrow.gateway.base._memory_budget import MemoryBudget
-from waxwingbarrow.gateway.base._metrics import Metrics
+from waxwingbarrow.gateway.base._metrics import REQUEST_BUCKETS_S, Metrics
 from waxwingbarrow.gateway.base._model import (
     Account,
     Backend,
@@ -75,6 +75,7 @@
     Bounds,
     CloudSettings,
     GatewaySettings,
+    HedgingSettings,
     StoreSettings,
     read_settings,
     split_address,
@@ -87,6 +88,7 @@
     "MAX_INTEGER",
     "MAX_NUMBER",
     "MAX_PORT",
+    "REQUEST_BUCKETS_S",
     "Account",
     "Backend",
     "BootClock",
@@ -110,6 +112,7 @@
     "ForwardingMetadata",
     "GatewaySettings",
     "Headers",
+    "HedgingSettings",
     "HistoryGone",
     "KeyedPage",
     "KeyedRecord",
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -132,6 +132,26 @@
     exposure_slack: float = 50.0
 
 
+@attrs.frozen(kw_only=True)
+class HedgingSettings:
+    """Second attempts for slow requests, and connect timeouts.
+
+    Parameters
+    ----------
+    extra_share : float
+        Fraction of a service's requests for which a second attempt may be sent; 0
+        disables second attempts.
+    delay_factor : float
+        Delay before the second attempt as a multiple of the expected time.
+    fast_connect : bool
+        Whether connection attempts end within a quarter of the route's objective.
+    """
+
+    extra_share: float = attrs.field(default=0.0, validator=in_range(0, 1))
+    delay_factor: float = attrs.field(default=3.0, validator=in_range(0.1, 100))
+    fast_connect: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """All settings of a gateway.
@@ -159,6 +179,8 @@
         Port of the metrics page; 0 disables it.
     log_level : str
         Lowest level of the log lines that are written, such as "INFO".
+    hedging : HedgingSettings
+        Second attempts for slow requests, and connect timeouts.
     """
 
     host_id: str
@@ -176,6 +198,7 @@
     bounds: Bounds = Bounds()
     metrics_port: int = attrs.field(default=9_464, validator=in_range(0, 65_535))
     log_level: str = attrs.field(default="INFO", validator=_check_log_level)
+    hedging: HedgingSettings = HedgingSettings()
 
 
 def read_settings(path: Path) -> Result[GatewaySettings, FieldInvalid]:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_buffered.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_buffered.py
@@ -2,11 +2,13 @@
 
 from waxwingbarrow.core import Clock, Instant
 from waxwingbarrow.gateway.base import Codec, ForwardingMetadata
+from waxwingbarrow.gateway.requests._connecting import ConnectPolicy
 from waxwingbarrow.gateway.requests._outcomes import AttemptRecorder
 from waxwingbarrow.gateway.requests._plans import Plan
 from waxwingbarrow.gateway.upstreams import (
     AttemptFailure,
     Moved,
+    NotSent,
     ResponseReceived,
     ResponseStarted,
     Upstream,
@@ -23,10 +25,17 @@
 class BufferedExchange:
     """Makes single attempts and reads their responses as a whole."""
 
-    def __init__(self, codec: Codec, clock: Clock, recorder: AttemptRecorder) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        clock: Clock,
+        recorder: AttemptRecorder,
+        connect: ConnectPolicy,
+    ) -> None:
         self._codec = codec
         self._clock = clock
         self._recorder = recorder
+        self._connect = connect
 
     async def attempt(
         self, plan: Plan, upstream: Upstream, placement: Placement
@@ -37,7 +46,8 @@
         # Reserves time for a retry if the route allows another attempt after this one.
         if (
             plan.route.is_repeatable
-            and plan.delivered_attempts + 1 < plan.route.max_attempts
+            and plan.delivered_attempts + plan.open_attempts + 1
+            < plan.route.max_attempts
         ):
             attempt_ms = int((deadline.mono_ms - started.mono_ms) * ATTEMPT_TIME_SHARE)
             deadline = started.plus_ms(attempt_ms)
@@ -54,6 +64,7 @@
                 self._codec,
                 deadline,
                 self._clock,
+                self._connect.choose_timeout_s(plan.route),
             )
             self._recorder.note_statements(upstream, outcome)
             if isinstance(outcome, ResponseStarted):
@@ -62,6 +73,8 @@
         finally:
             upstream.jobs.discard(job)
         self._recorder.record_outcome(plan, upstream, outcome, started)
+        if self._connect.is_fast and isinstance(outcome, NotSent):
+            self._recorder.report_unreachable(upstream, job)
         return outcome
 
 
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -2,10 +2,12 @@
 
 from waxwingbarrow.core import Clock
 from waxwingbarrow.gateway.admission import AttemptReporter, QuotaAdmission
-from waxwingbarrow.gateway.base import Call, Codec, Metrics, RouteKind
+from waxwingbarrow.gateway.base import Call, Codec, HedgingSettings, Metrics, RouteKind
 from waxwingbarrow.gateway.callers import Responder
 from waxwingbarrow.gateway.requests._buffered import BufferedExchange
+from waxwingbarrow.gateway.requests._connecting import ConnectPolicy
 from waxwingbarrow.gateway.requests._endings import ResponseWriter
+from waxwingbarrow.gateway.requests._hedging import Hedger
 from waxwingbarrow.gateway.requests._outcomes import AttemptRecorder
 from waxwingbarrow.gateway.requests._planner import Planner
 from waxwingbarrow.gateway.requests._plans import Plan, Refused
@@ -47,6 +49,7 @@
         metrics: Metrics,
         retry_budgets: RetryBudgets,
         reporter: AttemptReporter,
+        hedging: HedgingSettings,
     ) -> None:
         self._planner = planner
         self._clock = clock
@@ -63,8 +66,19 @@
             retry_budgets,
             reporter,
         )
-        self._buffered = BufferedExchange(codec, clock, recorder)
-        self._streams = StreamExchange(codec, clock, recorder)
+        connect = ConnectPolicy(hedging.fast_connect)
+        self._streams = StreamExchange(codec, clock, recorder, connect)
+        self._hedger = Hedger(
+            hedging,
+            planner,
+            clock,
+            fleet,
+            recorder,
+            retry_budgets,
+            metrics,
+            BufferedExchange(codec, clock, recorder, connect),
+            self._streams,
+        )
         self._writer = ResponseWriter(planner, codec, clock, metrics)
 
     async def handle(self, call: Call, responder: Responder) -> None:
@@ -100,7 +114,7 @@
                     plan, chosen, error_response, responder
                 )
             upstream, placement = chosen
-            outcome = await self._buffered.attempt(plan, upstream, placement)
+            outcome = await self._hedger.attempt_buffered(plan, upstream, placement)
             match outcome:
                 case ResponseReceived(head) if (
                     head.status < 500 or not self._may_repeat(plan)
@@ -120,7 +134,14 @@
         moved: Moved | None = None
         while True:
             if moved is not None:
-                upstream, cached_tokens = moved.upstream, plan.metadata.prompt_tokens
+                outcome = await self._streams.attempt(
+                    plan,
+                    moved.upstream,
+                    plan.metadata.prompt_tokens,
+                    splitter,
+                    responder,
+                    moved,
+                )
             else:
                 chosen = await self._select_upstream(plan)
                 if isinstance(chosen, Refused) or self._is_overdue(plan):
@@ -128,10 +149,9 @@
                         plan, chosen, error_response, responder
                     )
                 upstream, placement = chosen
-                cached_tokens = placement.view.cached_tokens
-            outcome = await self._streams.attempt(
-                plan, upstream, cached_tokens, splitter, responder, moved
-            )
+                outcome, splitter = await self._hedger.attempt_stream(
+                    plan, upstream, placement, splitter, responder
+                )
             moved = None
             match outcome:
                 case Moved():
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from waxwingbarrow.core import Clock, Instant
+from waxwingbarrow.gateway.admission import AdviceSource
 from waxwingbarrow.gateway.base import Codec, Engine, MoveState, write_request_head
 from waxwingbarrow.gateway.requests._planner import Planner
 from waxwingbarrow.gateway.requests._plans import Plan
@@ -61,11 +62,14 @@
     move : Task or None
         The move, once it has started. Its result says where the stream continues, or is
         None if the move failed.
+    advice_source : AdviceSource or None
+        Where the advice that the attempt follows comes from, if it follows one.
     """
 
     plan: Plan = attrs.field(kw_only=True)
     events: int = 0
     move: asyncio.Task[Moved | None] | None = None
+    advice_source: AdviceSource | None = None
 
 
 def build_stream_state(
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_outcomes.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_outcomes.py
@@ -17,7 +17,6 @@
     CrashTracker,
     Fleet,
     InvalidResponse,
-    Job,
     NotRun,
     NotSent,
     ResponseReceived,
@@ -66,12 +65,13 @@
             prefill_tokens,
             metadata.prompt_tokens + metadata.max_output_tokens // 2,
             plan=plan,
+            advice_source=plan.advice_source,
         )
         upstream.jobs.add(job)
         plan.tried_upstreams.add(upstream.entry.upstream)
         if metadata.parts:
             self._fleet.record_parts(upstream.entry.upstream, metadata.parts)
-        if plan.delivered_attempts == 0:
+        if plan.delivered_attempts + plan.open_attempts == 0:
             self._retry_budgets.record_request(self._planner.pick_service(plan), now)
         return job
 
@@ -100,11 +100,11 @@
         if plan.account is not None:
             self._usage.count(plan.account.name, self._clock.now())
 
-    def note_first_event(self, plan: Plan, upstream: Upstream, job: Job) -> None:
+    def note_first_event(self, plan: Plan, upstream: Upstream, job: PlannedJob) -> None:
         """Record the first event of a stream."""
         now = self._clock.now()
         self._reporter.report(
-            upstream, plan.advice_source, AttemptOutcome.FIRST_EVENT, now
+            upstream, job.advice_source, AttemptOutcome.FIRST_EVENT, now
         )
         self.note_execution_start(plan)
         job.pending_prefill_tokens = 0
@@ -121,7 +121,7 @@
         upstream: Upstream,
         outcome: ResponseReceived | AttemptFailure,
         started: Instant,
-        job: Job | None = None,
+        job: PlannedJob | None = None,
     ) -> None:
         """Record the outcome of an attempt that ended."""
         now = self._clock.now()
@@ -161,7 +161,7 @@
                 self._fleet.record(upstream, True, now)
                 result = "expired"
         if job is not None:
-            self._report_failure(plan, upstream, outcome, failed, now)
+            self._report_failure(job, upstream, outcome, failed, now)
         if isinstance(outcome, ResponseReceived):
             succeeded = outcome.head.status < 300
             self._crash_tracker.note_completion(plan.fingerprints, succeeded, now)
@@ -179,9 +179,22 @@
             )
         plan.trace.attempts.append(f"{name}: {result}")
 
+    def report_unreachable(self, upstream: Upstream, job: PlannedJob) -> None:
+        """Report an engine that accepted no connection to the keeper.
+
+        Upstreams of services without engines are not placed by the keeper.
+        """
+        if self._planner.find_engine(upstream.entry.service) is not None:
+            self._reporter.report(
+                upstream,
+                job.advice_source,
+                AttemptOutcome.UNREACHABLE,
+                self._clock.now(),
+            )
+
     def _report_failure(
         self,
-        plan: Plan,
+        job: PlannedJob,
         upstream: Upstream,
         outcome: ResponseReceived | AttemptFailure,
         failed: bool,
@@ -196,7 +209,30 @@
                 reported = AttemptOutcome.FAILED
             case _:
                 return
-        self._reporter.report(upstream, plan.advice_source, reported, now)
+        self._reporter.report(upstream, job.advice_source, reported, now)
+
+    def record_cancelled(
+        self, plan: Plan, upstream: Upstream, started: Instant, now: Instant
+    ) -> None:
+        """Record an attempt that was cancelled because another one was faster.
+
+        It is no failure of its upstream. The time waited counts for the rollout's
+        version, which would otherwise look faster than it is. The keeper gets no
+        report, so a first event that is overdue goes on counting as silence.
+        """
+        plan.delivered_attempts += 1
+        plan.may_have_run = True
+        waited_ms = now.mono_ms - started.mono_ms
+        entry = upstream.entry
+        self._rollouts.record(
+            entry.service,
+            entry.version,
+            plan.route.name,
+            False,
+            waited_ms,
+            plan.expected_start_ms,
+        )
+        plan.trace.attempts.append(f"{entry.upstream}: cancelled ({waited_ms} ms)")
 
     def record_move(self, plan: Plan, upstream: Upstream) -> None:
         """Record that a run was moved away from an upstream."""
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -88,6 +88,9 @@
         move continues the same run, so it does not count against the attempts allowed.
     tried_upstreams : set of UpstreamId
         Upstreams to which it was sent.
+    open_attempts : int
+        Attempts that still run and are not counted as delivered, while another one is
+        started beside them.
     """
 
     call: Call
@@ -109,6 +112,7 @@
     delivered_attempts: int = 0
     moves: int = 0
     tried_upstreams: set[UpstreamId] = attrs.Factory(set)
+    open_attempts: int = 0
 
     @property
     def output_size(self) -> int:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
@@ -1,11 +1,13 @@
 """Attempts at streams, whose events are forwarded as they arrive."""
 
 import asyncio
+from collections.abc import Callable
 
 from waxwingbarrow.core import Clock
 from waxwingbarrow.gateway.base import Codec, ResponseHead, is_event_stream
 from waxwingbarrow.gateway.callers import Responder
 from waxwingbarrow.gateway.requests._buffered import build_forwarding_metadata
+from waxwingbarrow.gateway.requests._connecting import ConnectPolicy
 from waxwingbarrow.gateway.requests._moves import PlannedJob
 from waxwingbarrow.gateway.requests._outcomes import AttemptRecorder
 from waxwingbarrow.gateway.requests._plans import Plan
@@ -34,10 +36,17 @@
 class StreamExchange:
     """Makes single attempts at streams and forwards their events."""
 
-    def __init__(self, codec: Codec, clock: Clock, recorder: AttemptRecorder) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        clock: Clock,
+        recorder: AttemptRecorder,
+        connect: ConnectPolicy,
+    ) -> None:
         self._codec = codec
         self._clock = clock
         self._recorder = recorder
+        self._connect = connect
 
     async def attempt(
         self,
@@ -47,8 +56,15 @@
         splitter: EventSplitter,
         responder: Responder,
         moved: Moved | None,
+        claim: Callable[[], None] | None = None,
     ) -> ResponseReceived | Moved | AttemptFailure:
-        """Send a request to an upstream and forward the events of its response."""
+        """Send a request to an upstream and forward the events of its response.
+
+        Parameters
+        ----------
+        claim : callable or None
+            Called before anything is forwarded to the caller, to end other attempts.
+        """
         started = self._clock.now()
         resume_after = splitter.last_id
         if resume_after is None:
@@ -64,12 +80,13 @@
                 self._codec,
                 plan.deadline,
                 self._clock,
+                self._connect.choose_timeout_s(plan.route),
             )
             self._recorder.note_statements(upstream, outcome)
             if isinstance(outcome, ResponseStarted):
                 if outcome.head.status == 200:
                     outcome = await self._forward_stream(
-                        plan, upstream, outcome, job, splitter, responder
+                        plan, upstream, outcome, job, splitter, responder, claim
                     )
                 else:
                     self._recorder.note_execution_start(plan)
@@ -94,6 +111,7 @@
         job: PlannedJob,
         splitter: EventSplitter,
         responder: Responder,
+        claim: Callable[[], None] | None,
     ) -> ResponseReceived | AttemptFailure:
         channel = response.channel
         is_complete = False
@@ -109,6 +127,8 @@
                     if _has_too_many_events(plan, splitter):
                         return InvalidResponse("more events than output tokens")
                     if events:
+                        if claim is not None and job.first_event_ms is None:
+                            claim()
                         self._forward_events(
                             plan, upstream, response, job, events, responder
                         )
@@ -121,6 +141,8 @@
                 # An upstream that crashes closes its connections like one that is done.
                 return ConnectionLost("closed before the first event")
             if not responder.started:
+                if claim is not None:
+                    claim()
                 self._start_stream(response.head, responder)
             responder.finish_stream()
             release(upstream, channel, response.metadata, self._clock)
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
@@ -15,7 +15,10 @@
     release,
     start_attempt,
 )
-from waxwingbarrow.gateway.upstreams._channel_pools import ChannelPool
+from waxwingbarrow.gateway.upstreams._channel_pools import (
+    CONNECT_TIMEOUT_S,
+    ChannelPool,
+)
 from waxwingbarrow.gateway.upstreams._channels import (
     BrokenError,
     ChannelError,
@@ -40,6 +43,7 @@
 from waxwingbarrow.gateway.upstreams._upstreams import Job, Load, Upstream
 
 __all__ = [
+    "CONNECT_TIMEOUT_S",
     "EVENT_END",
     "AttemptFailure",
     "BrokenError",
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_attempts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_attempts.py
@@ -14,6 +14,7 @@
     ResponseMetadata,
     write_request_head,
 )
+from waxwingbarrow.gateway.upstreams._channel_pools import CONNECT_TIMEOUT_S
 from waxwingbarrow.gateway.upstreams._channels import (
     IDLE_TIMEOUT_MARGIN_S,
     MIN_IDLE_TIMEOUT_S,
@@ -126,6 +127,7 @@
     codec: Codec,
     deadline: Instant,
     clock: Clock,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> ResponseStarted | AttemptFailure:
     """Send a request and wait for the head of its response.
 
@@ -147,7 +149,9 @@
     channel = None
     try:
         async with asyncio.timeout(compute_timeout_s(deadline, clock.now())):
-            channel = await _send_request(upstream, request, is_expected, clock)
+            channel = await _send_request(
+                upstream, request, is_expected, clock, connect_timeout_s
+            )
             if isinstance(channel, NotSent):
                 return channel
             head = await channel.read_head()
@@ -216,10 +220,13 @@
     request: bytes,
     is_expected: Callable[[ResponseHead], bool],
     clock: Clock,
+    connect_timeout_s: float,
 ) -> Channel | NotSent:
     for _ in range(MAX_CHANNELS_TRIED):
         try:
-            channel = await upstream.pool.acquire(clock.now().mono_ms / 1000)
+            channel = await upstream.pool.acquire(
+                clock.now().mono_ms / 1000, connect_timeout_s
+            )
         except ConnectError as error:
             return NotSent(str(error), error.refused)
         try:
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channel_pools.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channel_pools.py
@@ -39,7 +39,9 @@
         self._body_budget = BodyBudget()
         self._memory = memory or MemoryBudget(MAX_POOLED_BODY_BYTES)
 
-    async def acquire(self, now_s: float) -> Channel:
+    async def acquire(
+        self, now_s: float, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Channel:
         """Return an idle connection or open one.
 
         Raises
@@ -52,7 +54,7 @@
             if channel.is_fresh(now_s):
                 return channel
             channel.close()
-        return await self._connect()
+        return await self._connect(connect_timeout_s)
 
     async def check_refused(self, now_s: float) -> bool:
         """Return whether the peer refuses a new connection.
@@ -67,10 +69,10 @@
         self._keep(channel)
         return False
 
-    async def _connect(self) -> Channel:
+    async def _connect(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> Channel:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(connect_timeout_s):
                 _, protocol = await loop.create_connection(
                     lambda: Channel(self._body_budget, self._memory),
                     self._host,
