--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -256,6 +256,7 @@
                 ),
                 self._fleet.estimates,
             ),
+            settings.hedging,
         )
         self._mover = StreamMover(
             self._planner, self._fleet, codec, clock, self._retry_budgets
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -150,6 +150,26 @@
     scarce_share: float = attrs.field(default=0.5, validator=in_range(0.01, 1.0))
 
 
+@attrs.frozen(kw_only=True)
+class HedgingSettings:
+    """Second attempts for slow requests, and connect timeouts.
+
+    Parameters
+    ----------
+    extra_share : float
+        Fraction of a service's requests for which a second attempt may be sent; 0
+        disables second attempts.
+    delay_factor : float
+        Delay before the second attempt as a multiple of the expected time.
+    fast_connect : bool
+        Whether connection attempts end within a quarter of the route's objective.
+    """
+
+    extra_share: float = attrs.field(default=0.0, validator=in_range(0, 1))
+    delay_factor: float = attrs.field(default=3.0, validator=in_range(0.1, 100))
+    fast_connect: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
     """All settings of a gateway.
@@ -182,6 +202,8 @@
         instead of the figures of the data sheets.
     admission : AdmissionSettings
         Admission of requests while engines are scarce.
+    hedging : HedgingSettings
+        Second attempts for slow requests, and connect timeouts.
     """
 
     host_id: str
@@ -201,6 +223,7 @@
     log_level: str = attrs.field(default="INFO", validator=_check_log_level)
     engine_estimates: bool = False
     admission: AdmissionSettings = AdmissionSettings()
+    hedging: HedgingSettings = HedgingSettings()
 
 
 def read_settings(path: Path) -> Result[GatewaySettings, FieldInvalid]:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -100,6 +100,9 @@
         Whether it was admitted while engines are scarce; see `RoomGate`.
     promise : int
         Number of the promise with which it waits for room; 0 if it does not.
+    open_attempts : int
+        Attempts that still run and are not counted as delivered, while another one is
+        started beside them.
     """
 
     call: Call
@@ -123,6 +126,7 @@
     tried_upstreams: set[UpstreamId] = attrs.Factory(set)
     has_room: bool = False
     promise: int = 0
+    open_attempts: int = 0
 
     @property
     def output_size(self) -> int:
