Give the tests of hedged requests more time than a busy host takes

The first attempts of the tests ended 20 to 30 ms after the delay before a hedge; a host that is busy for longer sees both at once, and no hedge is sent. They end 120 ms or more after it now. The test of the share expects the two hedges that the share allows, where it accepted none.

Ruled out: a simulated clock, as the race waits with asyncio's timers.

--- a/libs/gateway/tests/test_hedged_requests.py
+++ b/libs/gateway/tests/test_hedged_requests.py
@@ -190,7 +190,7 @@
 
 async def test_the_first_attempt_wins_and_the_second_is_cancelled_at_once():
     setup = Setup()
-    setup.script((0.06, OK), (5.0, OK))
+    setup.script((0.2, OK), (5.0, OK))
     assert await setup.fetch() is OK
     await asyncio.sleep(0)
     assert setup.exchange.cancelled == ["i-2"]
@@ -201,7 +201,7 @@
 @pytest.mark.parametrize("failure", [ERROR, ConnectionLost(""), NotRun(503, b"", None)])
 async def test_a_failure_of_the_first_attempt_does_not_end_the_request(failure):
     setup = Setup()
-    setup.script((0.05, failure), (0.1, OK))
+    setup.script((0.2, failure), (0.3, OK))
     assert await setup.fetch() is OK
     assert setup.exchange.started == ["i-1", "i-2"]
     assert setup.exchange.cancelled == []
@@ -209,7 +209,7 @@
 
 async def test_an_error_of_the_second_attempt_does_not_win():
     setup = Setup()
-    setup.script((0.1, OK), (0.001, ERROR))
+    setup.script((0.2, OK), (0.001, ERROR))
     assert await setup.fetch() is OK
     assert setup.exchange.cancelled == []
 
@@ -226,7 +226,7 @@
 ):
     # Otherwise the caller would be told that the request has not run.
     setup = Setup()
-    setup.script((0.05, first), (0.05, second))
+    setup.script((0.2, first), (0.2, second))
     assert await setup.fetch() == result
     assert setup.plan.delivered_attempts == 2
 
@@ -235,7 +235,7 @@
     setup = Setup()
     setup.script((5.0, OK), (5.0, OK))
     task = asyncio.create_task(setup.fetch())
-    await asyncio.sleep(0.06)
+    await asyncio.sleep(0.2)
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
@@ -247,7 +247,7 @@
     setup = Setup()
     while setup.budgets.try_spend(SERVICE, setup.clock.now()):
         pass
-    setup.script((0.06, OK), (0.0, OK))
+    setup.script((0.2, OK), (0.0, OK))
     assert await setup.fetch() is OK
     assert setup.exchange.started == ["i-1"]
     refused = setup.count("hedge_refusals_total", reason="retry reserve")
@@ -256,24 +256,24 @@
 
 async def test_no_hedge_is_sent_beyond_the_share_of_the_requests():
     setup = Setup(requests=100, extra_share=0.02)
-    setup.script((0.04, OK), (0.0, OK))
+    setup.script((0.15, OK), (0.0, OK))
     for _ in range(4):
         await setup.fetch()
-    assert setup.exchange.started.count("i-2") <= 2
+    assert setup.exchange.started.count("i-2") == 2
 
 
 @pytest.mark.parametrize("second", [make_chosen("i-2", running=4), Refused(503, "")])
 async def test_no_hedge_is_sent_without_a_free_upstream(second):
     setup = Setup()
     setup.second = second
-    setup.script((0.06, OK), (0.0, OK))
+    setup.script((0.2, OK), (0.0, OK))
     assert await setup.fetch() is OK
     assert setup.exchange.started == ["i-1"]
 
 
 async def test_no_hedge_takes_a_permit_of_a_limited_upstream():
     setup = Setup(limit_per_s=5.0)
-    setup.script((0.06, OK), (0.0, OK))
+    setup.script((0.2, OK), (0.0, OK))
     await setup.fetch()
     assert setup.exchange.started == ["i-1"]
 
@@ -288,7 +288,7 @@
 )
 async def test_what_may_not_run_twice_is_never_hedged(fields):
     setup = Setup()
-    setup.script((0.06, OK), (0.0, OK))
+    setup.script((0.2, OK), (0.0, OK))
     if fields.get("kind") is RouteKind.STREAM:
         await setup.stream(resumable=False, max_attempts=3)
     else:
@@ -298,7 +298,7 @@
 
 async def test_with_the_defaults_nothing_is_hedged_or_measured():
     setup = Setup(extra_share=0.0)
-    setup.script((0.06, OK), (0.0, OK))
+    setup.script((0.2, OK), (0.0, OK))
     before = asyncio.all_tasks()
     task = asyncio.create_task(setup.fetch())
     await asyncio.sleep(0.01)
@@ -311,14 +311,14 @@
 async def test_the_hedge_is_not_counted_as_another_request():
     # The retry budget would grow with each hedge that it pays for.
     setup = Setup()
-    setup.script((0.06, OK), (0.01, OK))
+    setup.script((0.2, OK), (0.01, OK))
     await setup.fetch()
     assert setup.exchange.open_attempts == [0, 1]
     assert setup.plan.open_attempts == 0
 
 
 @pytest.mark.parametrize(
-    ("first_s", "second_s", "winner"), [(5.0, 0.01, "i-2"), (0.05, 0.5, "i-1")]
+    ("first_s", "second_s", "winner"), [(5.0, 0.01, "i-2"), (0.2, 1.0, "i-1")]
 )
 async def test_a_stream_is_forwarded_from_one_attempt_only(first_s, second_s, winner):
     # Events of two runs must not be mixed; each run generates another text.
