--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
@@ -144,6 +144,8 @@
             case AttemptOutcome.FIRST_EVENT:
                 time = self._backlog.note_first_event(name, key, now)
             case AttemptOutcome.ENDED:
+                if report.step_ms is None or report.running is None:
+                    return
                 time = DecodingTime(step_ms=report.step_ms, running=report.running)
             case _:
                 self._backlog.note_failure(name, key)
@@ -230,8 +232,8 @@
             entry.upstream,
             entry.process_started_ms,
             outcome,
-            decoding.step_ms if decoding is not None else 0.0,
-            decoding.running if decoding is not None else 0.0,
+            decoding.step_ms if decoding is not None else None,
+            decoding.running if decoding is not None else None,
         )
         if advice.keeper:
             self._send(report, advice.keeper)
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -257,8 +257,8 @@
         Number of the `QuotaRequest` whose answer advised the engine; 0 if none did.
     started_ms : int
         Wall time of the start of the engine's process, as it is registered.
-    step_ms, running : float
-        Time of a decoding step, and requests that ran meanwhile; 0 if not measured.
+    step_ms, running : float or None
+        Time of a decoding step, and requests that ran meanwhile, if it was measured.
     """
 
     format: BoundedInt
@@ -266,8 +266,8 @@
     upstream: str
     started_ms: BoundedInt
     outcome: AttemptOutcome
-    step_ms: BoundedFloat = 0.0
-    running: BoundedFloat = 0.0
+    step_ms: BoundedFloat | None = None
+    running: BoundedFloat | None = None
 
 
 class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
