Limit the requests to cold upstreams over all hosts

An upstream is cold after it starts during traffic and crashes above a few requests per second from all hosts together. No host read its cold phase.

A cold phase is one more limit that needs a permit. The number of requests that the bound allows in a second is divided: the rate of the upstream is granted by the holder of the duties, of which there is one at a time, and the tolerance beyond it in even shares by hosts that it does not answer. Buckets hold one permit and start empty. Moved runs take a permit if their target has turned cold, and a rollout's requests use the other versions while all upstreams of theirs are cold and take none.

Ruled out: the keepers of stated limits.

The network of the tests passes the hosts that share cold limits to `Permits`.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from waxwingbarrow.core import DataCentre, HostId, Instant
 from waxwingbarrow.gateway.admission import (
     AttemptReporter,
+    ColdHosts,
     Permits,
     PlacementAdviser,
     QuotaAdmission,
@@ -149,6 +150,11 @@
         }
         self._members = Members(host)
         self._fleet = Fleet(bounds.drain_ms)
+        self._fleet.notices.cold.start_host(
+            self._started_at,
+            settings.is_first_start,
+            lambda: self._members.count_known() > 1,
+        )
         self._quotas = Quotas(
             bounds.quota_slack * QUOTA_SLACK_SHARE,
             self._started_at.wall_ms,
@@ -182,6 +188,12 @@
             lambda request, address: self._peer_protocol.send_message(request, address),
             lambda now: self._peer_protocol.measure_permit_share(now),
             lambda now: self._peer_protocol.count_hosts(now),
+            ColdHosts(
+                bounds,
+                self._list_cold_keepers,
+                self._count_possible_hosts,
+                metrics.count_cold_permit,
+            ),
         )
         policy = PlacementPolicy(data_centre=data_centre)
         self._placement_adviser = PlacementAdviser(
@@ -314,7 +326,7 @@
             clock,
         )
         ttl_ms = max(MEMBER_TTL_MS, settings.store.min_ttl_ms)
-        lease = Lease(bounds.lease_ms, ttl_ms)
+        lease = self._lease = Lease(bounds.lease_ms, ttl_ms)
         tasks: list[DutyTask] = [
             RolloutTask(
                 self._rollouts,
@@ -554,6 +566,19 @@
         if not token:
             self._keeper.reset()
             self._placement_adviser.reset()
+            self._permits.keeper.reset_cold()
+
+    def _list_cold_keepers(self, now: Instant) -> list[str]:
+        keepers = self._peer_protocol.list_cold_keepers(now)
+        # After a freeze this host may still have the token of an ended lease.
+        if keepers == [""] and self._lease.find_token(now) is None:
+            return []
+        return keepers
+
+    def _count_possible_hosts(self, now: Instant) -> int | None:
+        if not self._replicas[Topic.HOSTS].is_loaded:
+            return None
+        return self._peer_protocol.count_possible_hosts(now)
 
     def _list_services(self) -> list[Service]:
         table = self._planner.table
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission over all hosts: quotas, permits and placement."""
 
+from waxwingbarrow.gateway.admission._cold_permits import ColdHosts
 from waxwingbarrow.gateway.admission._permits import STAND_IN_SHARE, Permits
 from waxwingbarrow.gateway.admission._placements import (
     AttemptReporter,
@@ -18,6 +19,7 @@
     "AdviceSource",
     "AttemptReporter",
     "Charge",
+    "ColdHosts",
     "Permits",
     "PlacementAdviser",
     "QuotaAdmission",
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_permits.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_permits.py
@@ -5,7 +5,8 @@
 large deployment the one that also decides on quotas, in a full mesh the first host in
 the order of the relays. Before a request is sent to an upstream with a limit, its host
 takes a permit there. Without an answer of a keeper a host keeps to its share of the
-limit.
+limit. Requests to cold upstreams are counted by the holder of the duties; see
+`ColdHosts`.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from result import Err, Ok, Result
 
 from waxwingbarrow.core import Clock, Instant, RateLimited, ServiceName
+from waxwingbarrow.gateway.admission._cold_permits import ColdHosts, ColdPermits
 from waxwingbarrow.gateway.admission._permit_keeper import MIN_RATE_PER_S, PermitKeeper
 from waxwingbarrow.gateway.messages import MESSAGE_FORMAT, PermitReply, PermitRequest
 from waxwingbarrow.gateway.upstreams import UpstreamNotices, UpstreamProcess
@@ -33,6 +35,8 @@
 # Callers are not told to stay away longer because of those refused before them; a limit
 # may have ended by then.
 MAX_QUEUE_MS = 30_000
+# A host asks this much later again for a cold upstream that the keeper does not know.
+UNKNOWN_WAIT_MS = 250
 
 
 class Permits:
@@ -48,6 +52,8 @@
         Returns the fraction of the limits that this host may grant as the keeper.
     count_hosts : callable
         Returns the number of hosts that share the limits.
+    cold_hosts : ColdHosts or None
+        The hosts that share what cold upstreams tolerate.
     """
 
     def __init__(
@@ -58,16 +64,22 @@
         send: Callable[[PermitRequest, str], None],
         measure_permit_share: Callable[[Instant], float],
         count_hosts: Callable[[Instant], int],
+        cold_hosts: ColdHosts | None = None,
     ) -> None:
         self._notices = notices
         self._clock = clock
         self._list_keepers = list_keepers
         self._send = send
         self._count_hosts = count_hosts
-        self.keeper = PermitKeeper(notices, measure_permit_share)
+        self._cold_hosts = cold_hosts
+        keeper_cold = own_cold = None
+        if cold_hosts is not None:
+            keeper_cold = ColdPermits(notices, cold_hosts.find_keeper_count)
+            own_cold = ColdPermits(notices, cold_hosts.find_share_count)
+        self.keeper = PermitKeeper(notices, measure_permit_share, keeper_cold)
         # Used while no keeper answers.
         self._own_share = PermitKeeper(
-            notices, lambda now: STAND_IN_SHARE / count_hosts(now)
+            notices, lambda now: STAND_IN_SHARE / count_hosts(now), own_cold
         )
         self._last_number = 0
         self._answers: dict[int, asyncio.Future[PermitReply]] = {}
@@ -80,9 +92,12 @@
 
         Without a permit the upstream is deferred until one may be available.
         """
-        if self._notices.find_limit_per_s(process) is None:
+        if self._notices.find_lowest_limit_per_s(process, self._clock.now()) is None:
             return True
+        is_cold = self.is_cold(process, self._clock.now())
         taken = await self._take(process)
+        if is_cold and self._cold_hosts is not None:
+            self._cold_hosts.count_permit(taken.is_ok())
         if isinstance(taken, Ok):
             return True
         wait_ms = round(1000 * (taken.err_value.retry_after_s or 0.0))
@@ -90,9 +105,16 @@
         self._notices.record_permit_wait(process, max(wait_ms, MIN_WAIT_MS), now)
         return False
 
+    def is_cold(self, process: UpstreamProcess, now: Instant) -> bool:
+        """Return whether an upstream is cold."""
+        return self._notices.cold.find_limit_per_s(process, now) is not None
+
     async def _take(self, process: UpstreamProcess) -> Result[None, RateLimited]:
         now = self._clock.now()
-        for address in self._list_keepers(now):
+        list_keepers = self._list_keepers
+        if self._cold_hosts is not None and self.is_cold(process, now):
+            list_keepers = self._cold_hosts.list_keepers
+        for address in list_keepers(now):
             if self._avoided_until_ms.get(address, 0) > now.mono_ms:
                 continue
             if not address:
@@ -124,8 +146,14 @@
         number = self._last_number
         answer = asyncio.get_running_loop().create_future()
         self._answers[number] = answer
-        notice = self._notices.make_report(process, self._clock.now())
-        self._send(PermitRequest(MESSAGE_FORMAT, number, notice), address)
+        now = self._clock.now()
+        notice = self._notices.make_report(process, now)
+        is_cold = self.is_cold(process, now)
+        cold = self._notices.cold.make_report(process, now) if is_cold else None
+        request = PermitRequest(
+            MESSAGE_FORMAT, number, notice, [] if cold is None else [cold]
+        )
+        self._send(request, address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return await answer
@@ -155,6 +183,14 @@
             Whether this host is the keeper; otherwise it grants nothing and says so.
         """
         self._notices.update_from_peer([request.notice], now)
+        if request.cold and self._cold_hosts is not None:
+            self._notices.cold.apply_reports(request.cold, now)
+            is_keeper = self._cold_hosts.is_keeper(now)
+            if is_keeper and not self._notices.cold.can_decide(request.process):
+                # Its registration or the configuration has not arrived here yet.
+                return PermitReply(
+                    MESSAGE_FORMAT, request.number, True, False, UNKNOWN_WAIT_MS
+                )
         if not is_keeper:
             return PermitReply(MESSAGE_FORMAT, request.number, False, False)
         taken = self.keeper.take(request.process, now)
@@ -178,7 +214,9 @@
         """
         waits_ms = [self._notices.measure_deferral_ms(item, now) for item in processes]
         return_ms = float(now.mono_ms + min(waits_ms))
-        limits = [self._notices.find_limit_per_s(item) for item in processes]
+        limits = [
+            self._notices.find_lowest_limit_per_s(item, now) for item in processes
+        ]
         if None not in limits:
             rate_per_s = sum(max(limit or 0.0, MIN_RATE_PER_S) for limit in limits)
             interval_ms = 1000 * self._count_hosts(now) / rate_per_s
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
@@ -119,6 +119,7 @@
             view.running,
             placement.candidates,
             is_placed,
+            self._fleet.is_cold(self._fleet.upstreams[view.upstream], now),
         )
 
     def note_attempt(self, report: AttemptReport, sender: str, now: Instant) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
@@ -53,6 +53,13 @@
             registry=self.registry,
         )
 
+        self._cold_permits = Counter(
+            "waxwingbarrow_gateway_cold_permits_total",
+            "Requests of this host to cold upstreams, by whether a permit was granted",
+            ("result",),
+            registry=self.registry,
+        )
+
     def observe_request(
         self, route: str, account: str, outcome: str, elapsed_ms: float
     ) -> None:
@@ -74,3 +81,7 @@
     def count_refusal(self, status: int, reason: str) -> None:
         """Count a refusal, a response that the gateway generated itself."""
         self._refusals.labels(str(status), reason).inc()
+
+    def count_cold_permit(self, is_granted: bool) -> None:
+        """Count whether a request got a permit for a cold upstream."""
+        self._cold_permits.labels("granted" if is_granted else "refused").inc()
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_model.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_model.py
@@ -143,11 +143,23 @@
         Properties of its model engines, if it has any.
     scaling : Scaling or None
         Bounds on its workers, if they are to be scaled.
+    cold_start_s : float
+        Time for which an upstream is cold after it starts during traffic.
+    cold_limit_per_s : float
+        Requests per second that a cold upstream tolerates from all hosts together; 0
+        if upstreams are never cold.
     """
 
     name: ServiceName
     engine: Engine | None = None
     scaling: Scaling | None = None
+    cold_start_s: float = 0.0
+    cold_limit_per_s: float = 0.0
+
+    @property
+    def has_cold_phase(self) -> bool:
+        """Whether upstreams may be cold."""
+        return self.cold_start_s > 0 and self.cold_limit_per_s > 0
 
 
 @attrs.frozen(kw_only=True)
@@ -236,6 +248,8 @@
         Whether the platform may take the worker back at short notice.
     leaves_in_ms : int or None
         Time from the registration until the upstream ends, if it is known.
+    cold_left_ms : int or None
+        Time from the registration until the upstream is warm, if it is stated.
     """
 
     upstream: UpstreamId
@@ -250,6 +264,7 @@
     sequence: int = 0
     reclaimable: bool = False
     leaves_in_ms: int | None = None
+    cold_left_ms: int | None = None
 
     @property
     def address(self) -> str:
@@ -398,6 +413,8 @@
         Whether the upstream is about to end and takes no new requests.
     retry_after_s : float or None
         Time for which the upstream wants no requests from this host, if it is stated.
+    cold_left_ms : int or None
+        Time until the upstream is warm, if it is stated.
     """
 
     request_id: str | None
@@ -407,3 +424,4 @@
     request_limit_per_s: float | None = None
     leaving: bool = False
     retry_after_s: float | None = None
+    cold_left_ms: int | None = None
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -117,6 +117,9 @@
     max_exposure_share, exposure_slack : float
         Fraction of the requests that a faulty version may get until the deadline of its
         rollout, and the number that it may get beyond.
+    cold_over, cold_slack : float
+        Requests that a cold upstream may get in any second: the rate that it tolerates
+        times `cold_over`, and `cold_slack` more.
     """
 
     grace_s: float = 8.0
@@ -130,6 +133,8 @@
     usage_late_s: float = 10.0
     max_exposure_share: float = 0.1
     exposure_slack: float = 50.0
+    cold_over: float = attrs.field(default=1.5, validator=in_range(0, 100))
+    cold_slack: float = attrs.field(default=5.0, validator=in_range(0, 100_000))
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -122,6 +122,7 @@
         if table and table.configuration.version >= configuration.version:
             return
         self._planner.table = RouteTable(configuration)
+        self._fleet.notices.cold.set_services(configuration.services)
         hosts = self._count_hosts(now)
         self._quotas.set_accounts(configuration.accounts, hosts, now)
         self._quotas.update_shares(hosts, now)
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -13,7 +13,12 @@
     Unsigned64,
     decode_with,
 )
-from waxwingbarrow.gateway.upstreams import NoticeReport, PartLosses, UpstreamProcess
+from waxwingbarrow.gateway.upstreams import (
+    ColdReport,
+    NoticeReport,
+    PartLosses,
+    UpstreamProcess,
+)
 
 # Version of the message format; messages of another version are ignored.
 MESSAGE_FORMAT = 5
@@ -71,6 +76,8 @@
         those of them that it did not crash, with their start times.
     notices : list
         What upstreams ask of the hosts; see `NoticeReport`.
+    cold : list
+        Upstreams that are cold, which no registration states; see `ColdReport`.
     """
 
     format: BoundedInt
@@ -97,6 +104,7 @@
     operator_age_ms: BoundedInt | None = None
     part_losses: list[PartLosses] = []
     notices: list[NoticeReport] = []
+    cold: list[ColdReport] = []
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -152,6 +160,7 @@
     deputies: list[str] = []
     part_losses: list[PartLosses] = []
     notices: list[NoticeReport] = []
+    cold: list[ColdReport] = []
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
@@ -203,6 +212,9 @@
         Number of upstreams that could be used.
     is_permitted : bool
         Whether a permit was taken, if the upstream limits its requests.
+    is_cold : bool
+        Whether the sender knows that the upstream is cold, so that the permit covers
+        that.
     """
 
     upstream: str
@@ -211,6 +223,7 @@
     running: BoundedInt
     candidates: BoundedInt
     is_permitted: bool = False
+    is_cold: bool = False
 
 
 class AttemptOutcome(enum.IntEnum):
@@ -320,11 +333,14 @@
         Identifies the request at the sender.
     notice : tuple
         What the sender knows of the upstream's limit.
+    cold : list
+        What the sender knows of the upstream's cold phase, if it is cold.
     """
 
     format: BoundedInt
     number: BoundedInt
     notice: NoticeReport
+    cold: list[ColdReport] = []
 
     @property
     def process(self) -> UpstreamProcess:
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
@@ -143,6 +143,7 @@
             operator_age_ms=self.measure_operator_age_ms(now),
             part_losses=self._crash_tracker.list_shared_parts(now),
             notices=self._fleet.notices.list_reports(now),
+            cold=self._fleet.notices.cold.list_reports(now),
         )
 
     def apply_heartbeat(
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
@@ -28,6 +28,7 @@
     encode_message,
 )
 from waxwingbarrow.gateway.peers._candidates import Candidacy, DutyEligibility
+from waxwingbarrow.gateway.peers._host_counts import HostCounts
 from waxwingbarrow.gateway.peers._members import (
     FORGET_TIMEOUT_MS,
     LIMIT_SHARE_TIMEOUT_MS,
@@ -161,6 +162,7 @@
         self._relay_since_ms: int | None = None
         self._candidacy = Candidacy(clock.now())
         self._operator_coverage = OperatorCoverage()
+        self._host_counts_seen = HostCounts(clock.now())
 
     # Callbacks of asyncio.DatagramProtocol
 
@@ -447,6 +449,21 @@
             return False
         return self._list_deputies(now)[:1] == [self._own.address[0]]
 
+    def list_cold_keepers(self, now: Instant) -> list[str]:
+        """Return the address of the holder of the duties, if one is known.
+
+        It counts the requests to cold upstreams; "" is this host. No other host stands
+        in for it, as both could grant at the same time.
+        """
+        if self._peer_sync.held_fencing_token:
+            return [""]
+        holder = self._find_other_holder(now)
+        return [] if holder is None else [holder]
+
+    def count_possible_hosts(self, now: Instant) -> int | None:
+        """Return how many hosts may exist; None soon after the start."""
+        return self._host_counts_seen.find_most(now)
+
     def _list_deputies(self, now: Instant) -> list[str]:
         """Return the addresses of the relays heard just now, the best one first."""
         addresses = self._aggregator.list_heard_relays(now, DEPUTY_HEARD_MS)
@@ -475,6 +492,7 @@
     def send_to_all_hosts(self, now: Instant) -> None:
         """Send one heartbeat to every other host, as in a full mesh."""
         heartbeat = self._peer_sync.make_heartbeat(now)
+        self._host_counts_seen.note(self._members.count_known(), now)
         targets = self._members.list_targets(now)
         if not targets:
             return
@@ -485,6 +503,7 @@
     def send_to_relay(self, now: Instant) -> None:
         """Send one heartbeat to the relay; a relay also sends summaries."""
         self._ticks += 1
+        self._host_counts_seen.note(self._members.count_known(), now)
         lost = self._relay_selector.expire_silent(now)
         if lost is not None:
             logger.warning("relay lost", extra={"relay": lost})
@@ -548,7 +567,8 @@
             self._peer_sync.measure_operator_age_ms(now),
         )
         notices = self._fleet.notices.list_reports(now)
-        own = msgspec.structs.replace(own, notices=notices)
+        cold = self._fleet.notices.cold.list_reports(now)
+        own = msgspec.structs.replace(own, notices=notices, cold=cold)
         self._unsent_parts = (self._unsent_parts + own.parts)[-MAX_SUMMARY_PROMPTS:]
         # The other hosts wait for the duties as long as they know of a holder.
         is_holder_changed = own.holder != self._sent_holder
@@ -563,6 +583,7 @@
             members=known_hosts,
             replacement=replacement,
             notices=notices,
+            cold=cold,
             deputies=self._list_deputies(now)[:MAX_DEPUTIES],
         )
         self._apply_total(total, now)
@@ -638,6 +659,7 @@
     ) -> None:
         sender_address = (address, self._peer_port)
         self._fleet.notices.update_from_peer(heartbeat.notices, now)
+        self._fleet.notices.cold.update_from_peer(heartbeat.cold, now)
         if self.is_full_mesh(now):
             member = self._peer_sync.apply_heartbeat(heartbeat, sender_address, now)
             if member is not None:
@@ -665,6 +687,7 @@
         self, summary: RelaySummary, address: str, now: Instant
     ) -> None:
         self._fleet.notices.update_from_peer(summary.notices, now)
+        self._fleet.notices.cold.update_from_peer(summary.cold, now)
         if summary.is_total:
             if summary.data_centre != self._own.data_centre:
                 return
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch of requests: admission, attempts, retries and the final response."""
 
 import asyncio
+import functools
 import logging
 
 from waxwingbarrow.core import Clock, Instant
@@ -17,6 +18,7 @@
 )
 from waxwingbarrow.gateway.callers import Responder
 from waxwingbarrow.gateway.messages import AttemptOutcome
+from waxwingbarrow.gateway.requests._cold_upstreams import acquire_move_permit
 from waxwingbarrow.gateway.requests._moves import PlannedJob
 from waxwingbarrow.gateway.requests._planner import RETRY_AFTER_BUSY_S, Planner
 from waxwingbarrow.gateway.requests._plans import Plan, Refused
@@ -224,6 +226,12 @@
         responder: Responder,
         moved: Moved | None,
     ) -> ResponseReceived | Moved | AttemptFailure:
+        acquire = functools.partial(self._planner.acquire_permit, plan, upstream)
+        if moved is not None and not await acquire_move_permit(
+            acquire, self._fleet, upstream, plan.deadline, self._clock
+        ):
+            plan.trace.attempts.append(f"{upstream.entry.upstream}: cold, no permit")
+            return NotSent("no permit for a cold upstream")
         started = self._clock.now()
         resume_after = splitter.last_id
         if resume_after is None:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -10,6 +10,7 @@
 from waxwingbarrow.gateway.admission import Permits, QuotaAdmission, Quotas
 from waxwingbarrow.gateway.base import Account, Call, CallMetadata, Codec, Engine, Route
 from waxwingbarrow.gateway.messages import PlacementQuery
+from waxwingbarrow.gateway.requests._cold_upstreams import find_rule
 from waxwingbarrow.gateway.requests._durations import StopCheck
 from waxwingbarrow.gateway.requests._plans import (
     Plan,
@@ -17,7 +18,7 @@
     RequestTrace,
     make_fingerprints,
 )
-from waxwingbarrow.gateway.requests._rollouts import Rollouts, VersionRule
+from waxwingbarrow.gateway.requests._rollouts import Rollouts
 from waxwingbarrow.gateway.requests._routes import (
     NoAccount,
     NoRoute,
@@ -198,7 +199,8 @@
         if not metadata.has_token_counts or self.find_engine(service) is None:
             return None
         usable_upstreams = self._fleet.list_usable(service, None)
-        rule = self._find_rule(plan, service, usable_upstreams)
+        request_id = metadata.request_id
+        rule = find_rule(self._rollouts, self._fleet, service, request_id, now)
         remaining_ms = plan.deadline.mono_ms - now.mono_ms
         return PlacementQuery(
             service=service,
@@ -217,13 +219,6 @@
             ],
         )
 
-    def _find_rule(
-        self, plan: Plan, service: ServiceName, usable_upstreams: Iterable[Upstream]
-    ) -> VersionRule:
-        known_versions = {item.entry.version for item in usable_upstreams}
-        request_id = plan.metadata.request_id
-        return self._rollouts.find_rule(service, request_id, known_versions)
-
     def _describe_quota(self, plan: Plan, now: Instant) -> dict[str, object]:
         account = plan.account
         state = self._quotas.describe(account, now) if account is not None else None
@@ -248,8 +243,8 @@
         metadata = plan.metadata
         service = self.pick_service(plan)
         engine = self.find_engine(service)
-        usable_upstreams = self._fleet.list_usable(service, None)
-        rule = self._find_rule(plan, service, usable_upstreams)
+        request_id = metadata.request_id
+        rule = find_rule(self._rollouts, self._fleet, service, request_id, now)
         allowed = self._fleet.list_allowed(
             service, rule.only, rule.excluded, plan.tried_upstreams
         )
@@ -346,7 +341,9 @@
         if not advised:
             plan.advice_source = None
             return None
-        if advice.is_permitted:
+        if advice.is_permitted and (
+            advice.is_cold or not self._fleet.is_cold(advised[0], now)
+        ):
             plan.permitted_upstream = UpstreamId(advice.upstream)
         (view,) = self._fleet.view(advised, (), engine, now)
         return Placement(
@@ -378,7 +375,8 @@
         unlimited = [
             upstream
             for upstream in usable_upstreams
-            if self._fleet.notices.find_limit_per_s(upstream.process) is None
+            if self._fleet.notices.find_lowest_limit_per_s(upstream.process, now)
+            is None
             and not self._fleet.is_deferred(upstream, now)
         ]
         needed = metadata.prompt_tokens + metadata.max_output_tokens
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
@@ -21,6 +21,7 @@
     ChannelError,
     ConnectError,
 )
+from waxwingbarrow.gateway.upstreams._cold_phases import ColdPhases, ColdReport
 from waxwingbarrow.gateway.upstreams._crash_checker import CrashChecker
 from waxwingbarrow.gateway.upstreams._crash_records import CrashRecorder
 from waxwingbarrow.gateway.upstreams._crash_tracker import (
@@ -45,6 +46,8 @@
     "BrokenError",
     "ChannelError",
     "ChannelPool",
+    "ColdPhases",
+    "ColdReport",
     "ConnectError",
     "ConnectionLost",
     "CrashChecker",
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
@@ -105,11 +105,13 @@
                         "upstream is leaving", extra={"upstream": entry.upstream}
                     )
                 known.entry = entry
+                self.notices.cold.note_registration(entry, now)
                 known.has_lapsed = False
                 if entry.leaving:
                     self._mark_leaving(known, entry.leaves_in_ms, now)
                 return
             self._discard(known, "upstream restarted under its id")
+        self.notices.cold.note_registration(entry, now)
         pool = ChannelPool(entry.host, entry.port, memory=self.body_memory)
         upstream = Upstream(entry, pool)
         if entry.leaving:
@@ -169,6 +171,7 @@
     def _discard(self, upstream: Upstream, message: str) -> None:
         upstream.gone = True
         upstream.pool.close()
+        self.notices.cold.forget(upstream.process)
         listed = self._upstreams_by_service.get(upstream.entry.service, [])
         if upstream in listed:
             listed.remove(upstream)
@@ -261,6 +264,10 @@
         """Return whether this host sends an upstream nothing at the moment."""
         return self.notices.measure_deferral_ms(upstream.process, now) > 0
 
+    def is_cold(self, upstream: Upstream, now: Instant) -> bool:
+        """Return whether an upstream tolerates few requests, as it is cold."""
+        return self.notices.cold.find_limit_per_s(upstream.process, now) is not None
+
     def view(
         self,
         upstreams: Iterable[Upstream],
@@ -285,6 +292,10 @@
         for upstream in upstreams:
             entry = upstream.entry
             name = entry.upstream
+            slots = engine.slots if engine else entry.slots
+            cold_per_s = self.notices.cold.find_limit_per_s(upstream.process, now)
+            if cold_per_s is not None:
+                slots = min(slots, max(int(cold_per_s), 1))
             load = upstream.measure(now)
             running, pending_tokens = load.running, float(load.pending_prefill_tokens)
             is_silent, slowdown = False, 1.0
@@ -297,7 +308,7 @@
                 WorkerView(
                     upstream=name,
                     data_centre=entry.data_centre,
-                    slots=engine.slots if engine else entry.slots,
+                    slots=slots,
                     running=running,
                     pending_prefill_tokens=pending_tokens,
                     used_tokens=load.used_tokens,
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
@@ -6,6 +6,7 @@
 
 from waxwingbarrow.core import Instant, UpstreamId
 from waxwingbarrow.gateway.base import BoundedFloat, BoundedInt, ResponseMetadata
+from waxwingbarrow.gateway.upstreams._cold_phases import ColdPhases
 
 logger = logging.getLogger("waxwingbarrow.gateway.notices")
 
@@ -71,10 +72,16 @@
 
     A limit holds for all hosts together, so hosts tell each other of limits and of
     upstreams that leave. A time without requests holds for one host only.
+
+    Attributes
+    ----------
+    cold : ColdPhases
+        Upstreams that are cold, which limits their requests as well.
     """
 
     def __init__(self) -> None:
         self._notices: dict[UpstreamProcess, _Notice] = {}
+        self.cold = ColdPhases()
 
     def note_response(
         self,
@@ -86,6 +93,8 @@
         """Record what the head of a response states."""
         if status == WRONG_UPSTREAM_STATUS:
             return
+        if metadata.cold_left_ms is not None:
+            self.cold.note_response(process, metadata.cold_left_ms, now)
         notice = self._notices.get(process)
         has_named_limit = notice is not None and notice.limit_ms is not None
         if metadata.request_limit_per_s is not None or has_named_limit:
@@ -145,19 +154,23 @@
     ) -> None:
         """Let this host send an upstream nothing until it may get a permit.
 
-        A change of the limit ends the wait.
+        A change of the limit ends the wait, and so does the end of a cold phase.
         """
+        if self.cold.find_limit_per_s(process, now) is not None:
+            self.cold.record_permit_wait(process, wait_ms, now)
+            return
         notice = self._find_or_add(process, now)
         if notice.limit_per_s is not None:
             notice.permit_at_ms = now.mono_ms + wait_ms
 
     def measure_deferral_ms(self, process: UpstreamProcess, now: Instant) -> int:
         """Return the time for which this host sends an upstream nothing; 0 if none."""
+        cold_ms = self.cold.measure_deferral_ms(process, now)
         notice = self._notices.get(process)
         if notice is None:
-            return 0
+            return cold_ms
         until_ms = max(notice.deferred_until_ms, notice.permit_at_ms)
-        return max(until_ms - now.mono_ms, 0)
+        return max(until_ms - now.mono_ms, cold_ms)
 
     def find_limit_per_s(self, process: UpstreamProcess) -> float | None:
         """Return the requests per second that an upstream accepts from all hosts.
@@ -167,15 +180,28 @@
         notice = self._notices.get(process)
         return None if notice is None else notice.limit_per_s
 
+    def find_lowest_limit_per_s(
+        self, process: UpstreamProcess, now: Instant
+    ) -> float | None:
+        """Return the lower of the limits that it states and that it has while cold."""
+        limits = [
+            self.find_limit_per_s(process),
+            self.cold.find_limit_per_s(process, now),
+        ]
+        return min((limit for limit in limits if limit is not None), default=None)
+
     def is_leaving(self, process: UpstreamProcess) -> bool:
         """Return whether an upstream has said that it is about to end."""
         notice = self._notices.get(process)
         return notice is not None and notice.leaving
 
     def make_report(self, process: UpstreamProcess, now: Instant) -> NoticeReport:
-        """Return what peers are told of an upstream that has stated something."""
+        """Return what peers are told of an upstream."""
         upstream, started_ms = process
-        notice = self._notices[process]
+        # One that has stated nothing must not be taken for one that ends a limit.
+        notice = self._notices.get(
+            process, _Notice(changed_ms=now.mono_ms - RETENTION_MS)
+        )
         limit_per_s = NO_LIMIT if notice.limit_per_s is None else notice.limit_per_s
         age_ms = now.mono_ms - (notice.limit_ms or notice.changed_ms)
         return str(upstream), started_ms, limit_per_s, notice.leaving, age_ms
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -3,12 +3,14 @@
 import random
 
 from waxwingbarrow.core import DataCentre, HostId, ManualClock
+from waxwingbarrow.gateway.admission._cold_permits import ColdHosts
 from waxwingbarrow.gateway.admission._permits import Permits
 from waxwingbarrow.gateway.admission._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway.admission._quotas import Quotas
 from waxwingbarrow.gateway.base._metrics import Metrics
 from waxwingbarrow.gateway.base._ports import Topic
+from waxwingbarrow.gateway.base._settings import Bounds
 from waxwingbarrow.gateway.base._supervision import Supervisor
 from waxwingbarrow.gateway.peers._members import Member, Members
 from waxwingbarrow.gateway.peers._peer_sync import PeerSync
@@ -175,6 +177,11 @@
             lambda request, address: self.peers.send_message(request, address),
             lambda now: self.peers.measure_permit_share(now),
             lambda now: self.peers.count_hosts(now),
+            ColdHosts(
+                Bounds(),
+                lambda now: self.peers.list_cold_keepers(now),
+                lambda now: self.peers.count_possible_hosts(now),
+            ),
         )
         own = Member(host, (address, PORT), centre, 1, None, 0, self.relay_mbps)
         fetcher = ReplicaFetcher(
