Count cold workers as starting when workers are ordered

A cold worker counted as a full one, so on-demand workers were returned before the reclaimable ones that replace them were warm.

A cold worker counts as the part that it can do now, from the average work of a request. The rest counts as starting: a worker ordered instead would be cold for longer, and worker-seconds are the largest cost. Workers that turn cold again are present, so they are not taken for lost ones.

Ruled out: a longer boot time for services with a cold phase, which would also delay orders for workers that never start.

`ScalingTask._count_ready` became `_count_workers`, which the test of a running rollout calls; it checks the same numbers.

Before, the new test of on-demand workers could not be stated, as `ScalingState` had no cold workers.

--- a/libs/capacity/src/waxwingbarrow/capacity/_worker_scaling.py
+++ b/libs/capacity/src/waxwingbarrow/capacity/_worker_scaling.py
@@ -62,25 +62,33 @@
     refused_at : mapping
         Time of the last refusal, if no order was accepted since then.
     most_ready : mapping
-        Largest number of ready workers since the last accepted order.
+        Largest number of workers, cold ones included, since the last accepted order.
+    warming : mapping
+        Number of registered workers that are cold, so that they do not count as ready.
     """
 
     ready: Mapping[WorkerPool, int]
     ordered: Mapping[WorkerPool, tuple[int, Instant]]
     refused_at: Mapping[WorkerPool, Instant]
     most_ready: Mapping[WorkerPool, int] = attrs.Factory(dict)
+    warming: Mapping[WorkerPool, int] = attrs.Factory(dict)
 
     def has_lost_workers(self, pool: WorkerPool) -> bool:
         """Return whether ordered workers that were ready no longer are."""
         ordered = self.ordered.get(pool)
         if ordered is None:
             return False
-        return self.count(pool) < min(ordered[0], self.most_ready.get(pool, 0))
+        most_ready = self.most_ready.get(pool, 0)
+        return self.count_present(pool) < min(ordered[0], most_ready)
 
     def count(self, pool: WorkerPool) -> int:
         """Return the number of ready workers of a data centre and kind."""
         return self.ready.get(pool, 0)
 
+    def count_present(self, pool: WorkerPool) -> int:
+        """Return the number of workers, cold ones included."""
+        return self.count(pool) + self.warming.get(pool, 0)
+
 
 @attrs.frozen(kw_only=True)
 class ScalingPolicy:
@@ -222,7 +230,7 @@
     for centre in sorted(need.prices, key=lambda c: need.prices[c]):
         targets.setdefault(WorkerPool(centre, False), 0)
     for pool in on_demand:
-        surplus = state.count(pool) - targets[pool]
+        surplus = state.count_present(pool) - targets[pool]
         # On-demand workers that still replace missing ones are not released yet.
         if surplus > 0 and missing > 0:
             retained = min(surplus, missing)
@@ -236,7 +244,7 @@
             centre
             for centre in need.prices
             if targets[WorkerPool(centre, False)]
-            + state.count(WorkerPool(centre, True))
+            + state.count_present(WorkerPool(centre, True))
             < need.max_workers
         ]
         if not open_centres:
@@ -270,7 +278,8 @@
     """Return how many reclaimable workers are ordered and still within boot time.
 
     Workers that have just been lost count as starting, because they are ordered again.
-    If that is refused, on-demand workers replace them at the next step.
+    If that is refused, on-demand workers replace them at the next step. Cold workers
+    of both kinds count as well.
     """
     starting = 0
     for pool, (count, ordered_at) in state.ordered.items():
@@ -278,7 +287,11 @@
         is_starting = age_s <= need.boot_s + policy.boot_margin_s
         is_starting = is_starting or state.has_lost_workers(pool)
         if pool.reclaimable and is_starting and pool not in state.refused_at:
-            starting += max(min(count, desired.get(pool, 0)) - state.count(pool), 0)
+            wanted = min(count, desired.get(pool, 0))
+            starting += max(wanted - state.count_present(pool), 0)
+    # A worker ordered now would be cold for longer than those that are cold already.
+    for pool, count in state.warming.items():
+        starting += min(count, max(desired.get(pool, 0) - state.count(pool), 0))
     return starting
 
 
@@ -307,7 +320,7 @@
     refused_at = state.refused_at.get(pool)
     if refused_at is not None and _age_s(refused_at, now) < policy.refusal_retry_s:
         return None
-    ready = state.count(pool)
+    ready = state.count_present(pool)
     ordered = state.ordered.get(pool)
     if ordered is None:
         if ready == count:
--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
@@ -1,7 +1,6 @@
 """Autoscaling: the duty that orders workers from the cloud."""
 
 import logging
-from collections import Counter
 from collections.abc import Callable, Collection
 
 import attrs
@@ -25,6 +24,7 @@
     describe_failure,
 )
 from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.duties._worker_counts import WorkerCounts, count_workers
 from waxwingbarrow.gateway.requests import WorkMeter
 from waxwingbarrow.gateway.upstreams import Fleet
 
@@ -137,7 +137,7 @@
             if service.scaling is None:
                 continue
             orders = self._orders.setdefault(service.name, _ServiceOrders())
-            present = sum(self._count_ready(service.name).values())
+            present = self._count_workers(service.name, now).present.total()
             if orders.first_at is None and present:
                 orders.first_at = now
             if orders.first_at is not None:
@@ -158,46 +158,50 @@
                 continue
             orders = self._orders.setdefault(service.name, _ServiceOrders())
             need = self._measure_need(service, orders, now)
-            ready = self._count_ready(service.name)
-            for pool, count in ready.items():
+            counts = self._count_workers(service.name, now)
+            for pool, count in counts.present.items():
                 most_ready = max(orders.most_ready.get(pool, 0), count)
                 orders.most_ready[pool] = most_ready
             state = ScalingState(
-                ready=ready,
+                ready=counts.ready,
                 ordered=orders.ordered,
                 refused_at=orders.refused_at,
                 most_ready=orders.most_ready,
+                warming=counts.warming,
             )
             if need is None:
                 continue
             is_rolling_out = self._is_rolling_out(service.name)
             for order in plan_scaling(need, state, self._policy, now):
-                if is_rolling_out and order.count < state.count(order.pool):
+                if is_rolling_out and order.count < state.count_present(order.pool):
                     continue
                 if not await self._send(service.name, order, need, token, now):
                     return
 
-    def _count_ready(self, service: ServiceName) -> dict[WorkerPool, int]:
-        entries = [item.entry for item in self._fleet.list_usable(service, None)]
-        known = {entry.version for entry in entries}
+    def _count_workers(self, service: ServiceName, now: Instant) -> WorkerCounts:
+        usable = self._fleet.list_usable(service, None)
+        known = {item.entry.version for item in usable}
         stopping = self._find_stopping_versions(service, known)
-        return Counter(
-            WorkerPool(entry.data_centre, entry.reclaimable)
-            for entry in entries
-            if entry.version not in stopping
+        return count_workers(
+            [item for item in usable if item.entry.version not in stopping],
+            self._fleet,
+            self._work_meter.measure_mean_ms(service, now),
+            self._find_work_ms_per_worker(now),
+            now,
         )
 
+    def _find_work_ms_per_worker(self, now: Instant) -> float:
+        if self._is_full_mesh(now):
+            return WORK_MS_PER_WORKER
+        return WORK_MS_PER_WORKER_WITH_RELAYS
+
     def _measure_need(
         self, service: Service, orders: _ServiceOrders, now: Instant
     ) -> ScalingNeed | None:
         scaling = service.scaling
         assert scaling is not None
-        work_ms_per_worker = WORK_MS_PER_WORKER
-        if not self._is_full_mesh(now):
-            work_ms_per_worker = WORK_MS_PER_WORKER_WITH_RELAYS
-        measured_workers = (
-            self._work_meter.measure(service.name, now) / work_ms_per_worker
-        )
+        work_ms_per_s = self._work_meter.measure(service.name, now)
+        measured_workers = work_ms_per_s / self._find_work_ms_per_worker(now)
         if not orders.initial_workers:
             return None
         orders.recent_needs = [
@@ -219,8 +223,8 @@
             orders.last_need = needed
         elif orders.last_need is None:
             # A new holder keeps the workers that it finds.
-            ready = sum(self._count_ready(service.name).values())
-            needed = max(needed, self._find_busy(ready, scaling))
+            present = self._count_workers(service.name, now).present.total()
+            needed = max(needed, self._find_busy(present, scaling))
         else:
             needed = max(needed, orders.last_need)
         return ScalingNeed(
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_work_meter.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_work_meter.py
@@ -17,6 +17,8 @@
 DECODE_MS_PER_TOKEN = 0.101
 # Requests state a maximum of output tokens; answers use about this fraction of it.
 EXPECTED_OUTPUT_FRACTION = 0.6
+# With fewer requests per second than this, their average work is not known.
+MIN_REQUESTS_PER_S = 0.01
 
 
 @attrs.define
@@ -48,6 +50,7 @@
 
     def __init__(self) -> None:
         self._own_meters: dict[ServiceName, DemandMeter] = {}
+        self._own_requests: dict[ServiceName, DemandMeter] = {}
         self._peer_rates: dict[ServiceName, dict[HostId, _PeerRate]] = {}
         self.first_at: Instant | None = None
 
@@ -56,10 +59,22 @@
         meter = self._own_meters.get(service)
         if meter is None:
             meter = self._own_meters[service] = DemandMeter(WORK_WINDOW_S)
+            self._own_requests[service] = DemandMeter(WORK_WINDOW_S)
         meter.add(work_ms, now)
+        self._own_requests[service].add(1.0, now)
         if self.first_at is None:
             self.first_at = now
 
+    def measure_mean_ms(self, service: ServiceName, now: Instant) -> float | None:
+        """Return the average work of this host's requests; None without requests."""
+        meter = self._own_meters.get(service)
+        if meter is None:
+            return None
+        requests_per_s = self._own_requests[service].measure_per_s(now)
+        if requests_per_s < MIN_REQUESTS_PER_S:
+            return None
+        return meter.measure_per_s(now) / requests_per_s
+
     def list_own(self, now: Instant) -> list[tuple[str, float]]:
         """Return the rates of this host in ms per second, for its peers."""
         return [
--- a/libs/gateway/tests/test_scaling.py
+++ b/libs/gateway/tests/test_scaling.py
@@ -72,7 +72,9 @@
             lambda service, known: self.stopping_versions,
         )
 
-    def register(self, centre, count, now, *, reclaimable=False, version="v1"):
+    def register(
+        self, centre, count, now, *, reclaimable=False, version="v1", **fields
+    ):
         for number in range(count):
             upstream = UpstreamId(f"{centre}{reclaimable}{number}{version}")
             entry = UpstreamEntry(
@@ -83,6 +85,7 @@
                 data_centre=centre,
                 version=VersionName(version),
                 reclaimable=reclaimable,
+                **fields,
             )
             host = f"10.{CENTRES.index(centre)}.{int(reclaimable)}.{number}"
             self.fleet.put(attrs.evolve(entry, host=host), now)
@@ -188,7 +191,7 @@
         host.register(centre, 20, at(12_000))
     host.is_rolling_out = True
     host.order(at(13_000))
-    ready = host.task._count_ready(POOL)
+    ready = host.task._count_workers(POOL, at(13_000)).present
     assert all(count >= ready[pool] for pool, count in host.cloud.ordered.items())
     host.is_rolling_out = False
     host.order(at(13_250))
@@ -210,3 +213,79 @@
     host.order(at(20_000))
     kept = {WorkerPool(centre, False): 4 for centre in CENTRES}
     assert all(count >= kept.get(pool, 0) for pool, count in host.cloud.ordered.items())
+
+
+COLD = Service(name=POOL, scaling=SCALING, cold_start_s=20.0, cold_limit_per_s=5.0)
+
+
+def make_host_with_cold_workers(work_ms=9.0):
+    """Return a host with three warm workers and nine cold ones in each data centre."""
+    host = Host()
+    host.fleet.notices.cold.set_services([COLD])
+    for centre in CENTRES:
+        host.register(centre, 3, at(0))
+        host.register(centre, 9, at(0), reclaimable=True, cold_left_ms=60_000)
+    host.task.note_initial_workers(at(0))
+    for ms in range(0, 20_000, 10):
+        host.work_meter.add(POOL, work_ms, at(ms))
+    return host
+
+
+def test_cold_workers_count_as_what_they_can_do_now():
+    # A worker that does 450 ms of work per second gets 5 requests of 36 ms while cold.
+    host = make_host_with_cold_workers(36.0)
+    counts = host.task._count_workers(POOL, at(20_000))
+    pool = WorkerPool(CENTRES[0], True)
+    assert counts.present[pool] == 9
+    assert counts.ready[pool] == int(9 * 5.0 * 36.0 / 450.0)
+    assert counts.warming[pool] == 6
+    warm = host.task._count_workers(POOL, at(60_000))
+    assert warm.ready == warm.present
+
+
+def test_on_demand_workers_are_kept_until_reclaimable_ones_are_warm():
+    # Guards against a service that has only cold workers left.
+    host = make_host_with_cold_workers()
+    host.order(at(20_000))
+    on_demand = [host.cloud.ordered.get(WorkerPool(c, False), 3) for c in CENTRES]
+    host.cloud.ordered.clear()
+    for ms in range(20_000, 61_000, 10):
+        host.work_meter.add(POOL, 9.0, at(ms))
+    host.order(at(61_000))
+    later = [host.cloud.ordered.get(WorkerPool(c, False), 3) for c in CENTRES]
+    assert sum(on_demand) > sum(later)
+
+
+def test_no_workers_are_ordered_in_place_of_cold_ones():
+    # They would be cold for longer than those. Worker-seconds are the largest cost.
+    host = make_host_with_cold_workers()
+    host.order(at(20_000))
+    warm = make_host_with_cold_workers()
+    warm.fleet.notices.cold.set_services([])
+    warm.order(at(20_000))
+    reclaimable = [WorkerPool(centre, True) for centre in CENTRES]
+    assert [host.cloud.ordered.get(p) for p in reclaimable] == [
+        warm.cloud.ordered.get(p) for p in reclaimable
+    ]
+    on_demand = [WorkerPool(centre, False) for centre in CENTRES]
+    assert all(host.cloud.ordered.get(p, 3) <= 3 for p in on_demand)
+
+
+def test_a_worker_that_turns_cold_again_is_not_ordered_again():
+    # It would also be taken for a lost one, which is replaced at once.
+    host = Host()
+    host.fleet.notices.cold.set_services([COLD])
+    host.register(CENTRES[0], 1, at(0))
+    for centre in CENTRES:
+        host.register(centre, 3, at(0), reclaimable=True)
+    host.task.note_initial_workers(at(0))
+    for ms in range(0, 21_000, 10):
+        host.work_meter.add(POOL, 27.0, at(ms))
+    host.order(at(20_000))
+    host.cloud.ordered.clear()
+    for upstream in host.fleet.upstreams.values():
+        if upstream.entry.reclaimable:
+            cold = host.fleet.notices.cold
+            cold.note_response(upstream.process, 30_000, at(20_500))
+    host.order(at(20_900))
+    assert host.cloud.ordered == {}
