Share only the cold phases that other hosts don't know

Each response that stated a time was reported to all hosts for ten seconds, also one that agrees with the registration or states 0 for a warm upstream. With 64 reports of 35 bytes, a relay with 50 hosts would send 3.5 Mbit/s of them; its link may have 5.

Phases are reported while they last if no registration states them, and ends for ten seconds if they came early, at most 32.

--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_cold_phases.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_cold_phases.py
@@ -21,12 +21,15 @@
 # the age in ms of the statement.
 ColdReport = tuple[str, BoundedInt, BoundedInt, BoundedInt]
 
-# Time for which peers are told of a phase that has ended, and for which statements of
+# Time for which peers are told that a phase ended early, and for which statements on
 # upstreams that are no longer registered are kept after their last phase.
 SHARING_MS = 10_000
 RETENTION_MS = 600_000
 # Number of phases that peers are told of at a time. They read registrations themselves.
-MAX_SHARED = 64
+# A relay sends it four times a second to each host, over links as slow as 5 Mbit/s.
+MAX_SHARED = 32
+# Two statements that differ by less name the same end.
+AGREEMENT_MS = 1_000
 # A report takes up to this long from its sender, so a report of a statement that is
 # newer by less may repeat the known one.
 REPORT_TOLERANCE_MS = 500
@@ -53,6 +56,8 @@
         Monotonic time of the newest statement.
     is_shared : bool
         Whether peers are told of it: no registration states it.
+    changed_ms : int
+        Monotonic time at which its end last changed.
     service : ServiceName or None
         Service of the upstream; None before its registration is known.
     sequence : int
@@ -64,6 +69,7 @@
     until_ms: int | None = None
     stated_ms: int = 0
     is_shared: bool = False
+    changed_ms: int = 0
     service: ServiceName | None = None
     sequence: int = -1
     permit_at_ms: int = 0
@@ -120,7 +126,7 @@
             if phase.until_ms is None or until_ms > phase.until_ms:
                 self._log_start(entry.upstream, phase, until_ms, "registration", now)
                 phase.until_ms, phase.is_shared = until_ms, False
-                phase.stated_ms = now.mono_ms
+                phase.stated_ms = phase.changed_ms = now.mono_ms
         elif is_first and phase.until_ms is None:
             self._derive_from_start(entry, phase, now)
 
@@ -149,7 +155,10 @@
         phase = self._phases.setdefault(process, _Phase())
         until_ms = _find_end_ms(left_ms, now)
         self._log_start(process[0], phase, until_ms, "response", now)
-        phase.until_ms, phase.stated_ms, phase.is_shared = until_ms, now.mono_ms, True
+        known_ms = max(phase.until_ms or 0, now.mono_ms)
+        if abs(until_ms - known_ms) > AGREEMENT_MS:
+            phase.is_shared, phase.changed_ms = True, now.mono_ms
+        phase.until_ms, phase.stated_ms = until_ms, now.mono_ms
 
     def _log_start(
         self,
@@ -235,7 +244,10 @@
             for process, phase in self._phases.items()
             if phase.is_shared
             and phase.until_ms is not None
-            and now.mono_ms - max(phase.until_ms, phase.stated_ms) < SHARING_MS
+            and (
+                phase.until_ms > now.mono_ms
+                or now.mono_ms - phase.changed_ms < SHARING_MS
+            )
         ]
         made = [self.make_report(process, now) for process in processes]
         reports = [report for report in made if report is not None]
@@ -259,8 +271,10 @@
             if is_newer:
                 until_ms = _find_end_ms(left_ms, now)
                 self._log_start(process[0], phase, until_ms, "peer", now)
+                known_ms = max(phase.until_ms or 0, now.mono_ms)
+                if abs(until_ms - known_ms) > AGREEMENT_MS:
+                    phase.is_shared, phase.changed_ms = True, now.mono_ms
                 phase.until_ms, phase.stated_ms = until_ms, stated_ms
-                phase.is_shared = True
 
     def forget(self, process: _Process) -> None:
         """Note that an upstream is no longer registered; its phase may still matter."""
--- a/libs/gateway/tests/test_cold_upstreams.py
+++ b/libs/gateway/tests/test_cold_upstreams.py
@@ -464,6 +464,21 @@
         assert not self.is_cold(second, 3_100)
         assert first.cold.list_reports(at(30_000)) == []
 
+    def test_what_all_hosts_know_is_not_sent_to_them(self):
+        # Guards against relays that tell each host of each upstream four times a
+        # second, because every response states the time left.
+        notices = self.make()
+        for number in range(100):
+            entry = make_entry(f"u{number}", cold_left_ms=5_000 * (number % 2))
+            notices.cold.note_registration(entry, at(0))
+            process = (entry.upstream, 5)
+            for ms in range(100, 9_000, 300):
+                left_ms = max(5_000 * (number % 2) - ms, 0)
+                notices.note_response(process, 200, state(left_ms), at(ms))
+                assert notices.cold.list_reports(at(ms)) == []
+        notices.note_response(PROCESS, 200, state(5_000), at(9_000))
+        assert len(notices.cold.list_reports(at(9_100))) == 1
+
     def test_phases_of_upstreams_that_are_gone_are_forgotten(self):
         notices = self.make()
         for number in range(50):
