Merge the limits on cold upstreams

A moved run that finds its new upstream cold waits for its permit in the dispatcher, before the stream's exchange; hedges go to no cold upstream.

--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
@@ -144,6 +144,7 @@
             placement.candidates,
             is_placed,
             room,
+            self._fleet.is_cold(self._fleet.upstreams[view.upstream], now),
         )
 
     def note_attempt(self, report: AttemptReport, sender: str, now: Instant) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
@@ -70,6 +70,12 @@
             buckets=ROOM_WAIT_BUCKETS_S,
             registry=self.registry,
         )
+        self._cold_permits = Counter(
+            "waxwingbarrow_gateway_cold_permits_total",
+            "Requests of this host to cold upstreams, by whether a permit was granted",
+            ("result",),
+            registry=self.registry,
+        )
 
     def observe_request(
         self, route: str, account: str, outcome: str, elapsed_ms: float
@@ -98,3 +104,7 @@
         self._rooms.labels(str(priority), result).inc()
         if waited_ms:
             self._room_wait_s.labels(str(priority)).observe(waited_ms / 1000)
+
+    def count_cold_permit(self, is_granted: bool) -> None:
+        """Count whether a request got a permit for a cold upstream."""
+        self._cold_permits.labels("granted" if is_granted else "refused").inc()
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -15,6 +15,7 @@
 )
 from waxwingbarrow.gateway.messages._room import RoomAnswer, RoomDecision, RoomQuery
 from waxwingbarrow.gateway.upstreams import (
+    ColdReport,
     NoticeReport,
     PartLosses,
     SpeedReport,
@@ -79,6 +80,8 @@
         What upstreams ask of the hosts; see `NoticeReport`.
     speeds : list
         Speed of the engines, if the sender is the keeper; see `SpeedReport`.
+    cold : list
+        Upstreams that are cold, which no registration states; see `ColdReport`.
     """
 
     format: BoundedInt
@@ -106,6 +109,7 @@
     part_losses: list[PartLosses] = []
     notices: list[NoticeReport] = []
     speeds: list[SpeedReport] = []
+    cold: list[ColdReport] = []
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -162,6 +166,7 @@
     part_losses: list[PartLosses] = []
     notices: list[NoticeReport] = []
     speeds: list[SpeedReport] = []
+    cold: list[ColdReport] = []
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
@@ -218,6 +223,9 @@
         Whether a permit was taken, if the upstream limits its requests.
     room : RoomAnswer or None
         Whether the request is served, if the query asked for it and the sender decides.
+    is_cold : bool
+        Whether the sender knows that the upstream is cold, so that the permit covers
+        that.
     """
 
     upstream: str
@@ -227,6 +235,7 @@
     candidates: BoundedInt
     is_permitted: bool = False
     room: RoomAnswer | None = None
+    is_cold: bool = False
 
     @property
     def is_refused(self) -> bool:
@@ -349,11 +358,14 @@
         Identifies the request at the sender.
     notice : tuple
         What the sender knows of the upstream's limit.
+    cold : list
+        What the sender knows of the upstream's cold phase, if it is cold.
     """
 
     format: BoundedInt
     number: BoundedInt
     notice: NoticeReport
+    cold: list[ColdReport] = []
 
     @property
     def process(self) -> UpstreamProcess:
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
@@ -144,6 +144,7 @@
             part_losses=self._crash_tracker.list_shared_parts(now),
             notices=self._fleet.notices.list_reports(now),
             speeds=self._fleet.estimates.list_keeper_reports(now),
+            cold=self._fleet.notices.cold.list_reports(now),
         )
 
     def apply_heartbeat(
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -1,10 +1,13 @@
 """Dispatch of requests: admission, attempts, retries and the final response."""
 
+import functools
+
 from waxwingbarrow.core import Clock
 from waxwingbarrow.gateway.admission import AttemptReporter, QuotaAdmission
 from waxwingbarrow.gateway.base import Call, Codec, HedgingSettings, Metrics, RouteKind
 from waxwingbarrow.gateway.callers import Responder
 from waxwingbarrow.gateway.requests._buffered import BufferedExchange
+from waxwingbarrow.gateway.requests._cold_upstreams import acquire_move_permit
 from waxwingbarrow.gateway.requests._connecting import ConnectPolicy
 from waxwingbarrow.gateway.requests._endings import ResponseWriter
 from waxwingbarrow.gateway.requests._hedging import Hedger
@@ -53,6 +56,7 @@
     ) -> None:
         self._planner = planner
         self._clock = clock
+        self._fleet = fleet
         self._quota_admission = quota_admission
         self._retry_budgets = retry_budgets
         recorder = AttemptRecorder(
@@ -134,14 +138,7 @@
         moved: Moved | None = None
         while True:
             if moved is not None:
-                outcome = await self._streams.attempt(
-                    plan,
-                    moved.upstream,
-                    plan.metadata.prompt_tokens,
-                    splitter,
-                    responder,
-                    moved,
-                )
+                outcome = await self._continue_moved(plan, moved, splitter, responder)
             else:
                 chosen = await self._select_upstream(plan)
                 if isinstance(chosen, Refused) or self._is_overdue(plan):
@@ -174,6 +171,22 @@
                 return self._writer.end_failed(plan, outcome, error_response, responder)
             splitter.resume()
 
+    async def _continue_moved(
+        self, plan: Plan, moved: Moved, splitter: EventSplitter, responder: Responder
+    ) -> ResponseReceived | Moved | AttemptFailure:
+        """Continue a run at the upstream that it was moved to, with a permit."""
+        upstream = moved.upstream
+        acquire = functools.partial(self._planner.acquire_permit, plan, upstream)
+        if not await acquire_move_permit(
+            acquire, self._fleet, upstream, plan.deadline, self._clock
+        ):
+            plan.trace.attempts.append(f"{upstream.entry.upstream}: cold, no permit")
+            return NotSent("no permit for a cold upstream")
+        prompt_tokens = plan.metadata.prompt_tokens
+        return await self._streams.attempt(
+            plan, upstream, prompt_tokens, splitter, responder, moved
+        )
+
     async def _select_upstream(
         self, plan: Plan
     ) -> tuple[Upstream, Placement] | Refused:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_hedging.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_hedging.py
@@ -226,7 +226,10 @@
         if isinstance(chosen, Refused):
             return HedgeRefusal.NO_UPSTREAM
         upstream, placement = chosen
-        if self._fleet.notices.find_limit_per_s(upstream.process) is not None:
+        if (
+            self._fleet.notices.find_lowest_limit_per_s(upstream.process, now)
+            is not None
+        ):
             return HedgeRefusal.LIMITED_UPSTREAM
         refusal = find_hedge_refusal(
             attempt, placement.view, placement.start_ms, self._policy
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_work_meter.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_work_meter.py
@@ -17,6 +17,8 @@
 SHEET_SPEED = EngineSpeed(prefill_tokens_per_ms=55.0, step_ms_per_request=0.101)
 # Requests state a maximum of output tokens; answers use about this fraction of it.
 EXPECTED_OUTPUT_FRACTION = 0.6
+# With fewer requests per second than this, their average work is not known.
+MIN_REQUESTS_PER_S = 0.01
 
 
 @attrs.define
@@ -72,6 +74,7 @@
 
     def __init__(self) -> None:
         self._own_meters: dict[ServiceName, DemandMeter] = {}
+        self._own_requests: dict[ServiceName, DemandMeter] = {}
         self._peer_rates: dict[ServiceName, dict[HostId, _PeerRate]] = {}
         self.first_at: Instant | None = None
 
@@ -80,7 +83,9 @@
         meter = self._own_meters.get(service)
         if meter is None:
             meter = self._own_meters[service] = DemandMeter(WORK_WINDOW_S)
+            self._own_requests[service] = DemandMeter(WORK_WINDOW_S)
         meter.add(work_ms, now)
+        self._own_requests[service].add(1.0, now)
         if self.first_at is None:
             self.first_at = now
 
@@ -96,6 +101,16 @@
         work_ms = estimate_work_ms(metadata, view.cached_tokens, speed, view.slots)
         self.add(service, work_ms, now)
 
+    def measure_mean_ms(self, service: ServiceName, now: Instant) -> float | None:
+        """Return the average work of this host's requests; None without requests."""
+        meter = self._own_meters.get(service)
+        if meter is None:
+            return None
+        requests_per_s = self._own_requests[service].measure_per_s(now)
+        if requests_per_s < MIN_REQUESTS_PER_S:
+            return None
+        return meter.measure_per_s(now) / requests_per_s
+
     def list_own(self, now: Instant) -> list[tuple[str, float]]:
         """Return the rates of this host in ms per second, for its peers."""
         return [
