Evacuate data centres on the operator's order

Cause: the operator can order that nothing more is sent to the upstreams of a data centre. The record was read as a configuration, so it was ignored as unreadable, or put in force if its value looked like a newer configuration; removed keys of the topic were ignored.

Evacuations holds the orders. Fleet.list_usable leaves out the upstreams of evacuated data centres, which covers new requests, retries, resumed streams, targets of moves, the keeper's advice and capacity planning. Runs are moved away only in the first second after a host learned of the order, as the call that moves a run reaches the data centre. After the removal, upstreams of a service with a cold phase get at most its rate for cold upstreams.

A relay now fetches the operator's topic from its own hosts when they are ahead.

Ruled out: marking the upstreams as leaving (a later registration ends the mark), and cutting running streams (the rule counts requests).

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -148,7 +148,7 @@
             for topic in (Topic.OPERATOR, Topic.UPSTREAMS, Topic.STATUS, Topic.HOSTS)
         }
         self._members = Members(host)
-        self._fleet = Fleet(bounds.drain_ms)
+        self._fleet = Fleet(bounds.drain_ms, bounds.evacuation_ms)
         self._quotas = Quotas(
             bounds.quota_slack * QUOTA_SLACK_SHARE,
             self._started_at.wall_ms,
@@ -473,6 +473,7 @@
             "eligibility": self._update_eligibility,
             "moves": self._mover.start_moves,
             "scaling": self._note_workers,
+            "evacuations": self._update_evacuations,
             "idle connections": lambda now: self._fleet.close_expired(
                 now.mono_ms / 1000
             ),
@@ -496,6 +497,13 @@
         if self._scaling is not None:
             self._scaling.note_initial_workers(now)
 
+    def _update_evacuations(self, now: Instant) -> None:
+        evacuations = self._fleet.evacuations
+        if self._store_health.is_unreachable:
+            evacuations.note_out_of_contact(now)
+        self._fleet.notices.return_limits.remove_expired(now)
+        self._metrics.evacuated_data_centres.set(evacuations.count)
+
     def _flush_logs(self, now: Instant) -> None:
         if self._log_handler is not None:
             self._log_handler.flush_lines()
--- a/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
@@ -48,6 +48,11 @@
     Service,
     UpstreamEntry,
 )
+from waxwingbarrow.gateway.base._operator_keys import (
+    EvacuationKey,
+    OperatorKey,
+    RolloutKey,
+)
 from waxwingbarrow.gateway.base._ports import (
     Cloud,
     CloudFailure,
@@ -106,6 +111,7 @@
     "Configuration",
     "DutyAssignment",
     "Engine",
+    "EvacuationKey",
     "Fenced",
     "ForwardingMetadata",
     "GatewaySettings",
@@ -117,10 +123,12 @@
     "MemoryBudget",
     "Metrics",
     "MoveState",
+    "OperatorKey",
     "Record",
     "RecordPage",
     "ResponseHead",
     "ResponseMetadata",
+    "RolloutKey",
     "RolloutOrder",
     "RolloutState",
     "RolloutStatus",
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
@@ -4,7 +4,7 @@
 callers' input.
 """
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 REQUEST_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 15)
 FIRST_EVENT_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.31, 0.5, 0.8, 1.2, 2, 5)
@@ -52,6 +52,11 @@
             "Log lines that were left out to bound the volume",
             registry=self.registry,
         )
+        self.evacuated_data_centres = Gauge(
+            "waxwingbarrow_gateway_evacuated_data_centres",
+            "Data centres whose upstreams get nothing by the operator's order",
+            registry=self.registry,
+        )
 
     def observe_request(
         self, route: str, account: str, outcome: str, elapsed_ms: float
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_model.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_model.py
@@ -143,11 +143,23 @@
         Properties of its model engines, if it has any.
     scaling : Scaling or None
         Bounds on its workers, if they are to be scaled.
+    cold_start_s : float
+        How long an upstream is cold after a start during traffic.
+    cold_limit_per_s : float
+        Requests per second that a cold upstream tolerates from all hosts together; 0 if
+        the service has no cold phase.
     """
 
     name: ServiceName
     engine: Engine | None = None
     scaling: Scaling | None = None
+    cold_start_s: float = 0.0
+    cold_limit_per_s: float = 0.0
+
+    @property
+    def has_cold_phase(self) -> bool:
+        """Whether upstreams tolerate fewer requests for a while after a start."""
+        return self.cold_start_s > 0 and self.cold_limit_per_s > 0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -23,6 +23,7 @@
     RolloutStatus,
     UpstreamEntry,
 )
+from waxwingbarrow.gateway.base._operator_keys import OperatorKey
 
 
 @attrs.frozen
@@ -375,8 +376,8 @@
         """Decode an upstream's registration."""
         ...
 
-    def read_operator_key(self, key: str) -> str | None:
-        """Return the service whose rollout order has this key; None for other keys."""
+    def read_operator_key(self, key: str) -> OperatorKey | None:
+        """Return which order has this key; None for a configuration."""
         ...
 
     def read_rollout(
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -117,6 +117,9 @@
     max_exposure_share, exposure_slack : float
         Fraction of the requests that a faulty version may get until the deadline of its
         rollout, and the number that it may get beyond.
+    evacuation_ms : int
+        Time after an operator's order to evacuate a data centre from which no request
+        may reach an upstream there.
     """
 
     grace_s: float = 8.0
@@ -130,6 +133,7 @@
     usage_late_s: float = 10.0
     max_exposure_share: float = 0.1
     exposure_slack: float = 50.0
+    evacuation_ms: int = attrs.field(default=5_000, validator=in_range(0, 3_600_000))
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -10,10 +10,13 @@
 from waxwingbarrow.gateway.admission import Quotas
 from waxwingbarrow.gateway.base import (
     Codec,
+    EvacuationKey,
     KeyedPage,
     KeyedRecord,
+    RolloutKey,
     Topic,
 )
+from waxwingbarrow.gateway.configuration._evacuation_orders import EvacuationOrders
 from waxwingbarrow.gateway.configuration._registrations import read_host
 from waxwingbarrow.gateway.peers import Members
 from waxwingbarrow.gateway.replication import Change, Replica, StoreHealth
@@ -63,6 +66,7 @@
         self._rollouts = rollouts
         self._members = members
         self._count_hosts = count_hosts
+        self._evacuation_orders = EvacuationOrders(fleet, planner)
 
     def apply_listings(self, pages: dict[str, KeyedPage]) -> None:
         """Apply a peer's listings of those topics in which it is ahead."""
@@ -100,12 +104,22 @@
     def _apply_operator_change(self, change: Change, now: Instant) -> None:
         for record in change.changed:
             with self._log_failure(record.key):
-                if self._codec.read_operator_key(record.key) is not None:
-                    self._apply_order(record, now)
-                else:
-                    self._apply_configuration(record, now)
-
-    def _apply_order(self, record: KeyedRecord, now: Instant) -> None:
+                match self._codec.read_operator_key(record.key):
+                    case RolloutKey():
+                        self._apply_rollout(record, now)
+                    case EvacuationKey(data_centre):
+                        self._evacuation_orders.apply(data_centre, record.offset, now)
+                    case None:
+                        self._apply_configuration(record, now)
+        for key in change.removed:
+            with self._log_failure(key):
+                match self._codec.read_operator_key(key):
+                    case EvacuationKey(data_centre):
+                        self._evacuation_orders.revoke(data_centre, now)
+                    case _:
+                        pass
+
+    def _apply_rollout(self, record: KeyedRecord, now: Instant) -> None:
         order = self._codec.read_rollout(record.value, record.offset)
         if isinstance(order, Err):
             self._log_unreadable(record.key, order.err_value.reason)
--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
@@ -25,6 +25,10 @@
     describe_failure,
 )
 from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.duties._evacuated_pools import (
+    leave_out_evacuated,
+    leave_out_prices,
+)
 from waxwingbarrow.gateway.requests import WorkMeter
 from waxwingbarrow.gateway.upstreams import Fleet
 
@@ -137,7 +141,7 @@
             if service.scaling is None:
                 continue
             orders = self._orders.setdefault(service.name, _ServiceOrders())
-            present = sum(self._count_ready(service.name).values())
+            present = sum(self._count_present(service.name).values())
             if orders.first_at is None and present:
                 orders.first_at = now
             if orders.first_at is not None:
@@ -162,11 +166,12 @@
             for pool, count in ready.items():
                 most_ready = max(orders.most_ready.get(pool, 0), count)
                 orders.most_ready[pool] = most_ready
+            evacuations = self._fleet.evacuations
             state = ScalingState(
                 ready=ready,
-                ordered=orders.ordered,
-                refused_at=orders.refused_at,
-                most_ready=orders.most_ready,
+                ordered=leave_out_evacuated(orders.ordered, evacuations),
+                refused_at=leave_out_evacuated(orders.refused_at, evacuations),
+                most_ready=leave_out_evacuated(orders.most_ready, evacuations),
             )
             if need is None:
                 continue
@@ -178,7 +183,13 @@
                     return
 
     def _count_ready(self, service: ServiceName) -> dict[WorkerPool, int]:
-        entries = [item.entry for item in self._fleet.list_usable(service, None)]
+        """Count the workers that requests may be sent to; evacuated ones do not."""
+        present = self._count_present(service)
+        return leave_out_evacuated(present, self._fleet.evacuations)
+
+    def _count_present(self, service: ServiceName) -> dict[WorkerPool, int]:
+        """Count the workers that accept requests, evacuated ones included."""
+        entries = [item.entry for item in self._fleet.list_accepting(service, None)]
         known = {entry.version for entry in entries}
         stopping = self._find_stopping_versions(service, known)
         return Counter(
@@ -218,9 +229,10 @@
         if self._measure_coverage(now) >= MIN_COVERAGE:
             orders.last_need = needed
         elif orders.last_need is None:
-            # A new holder keeps the workers that it finds.
-            ready = sum(self._count_ready(service.name).values())
-            needed = max(needed, self._find_busy(ready, scaling))
+            # A new holder keeps the workers that it finds, and replaces those that are
+            # evacuated.
+            present = sum(self._count_present(service.name).values())
+            needed = max(needed, self._find_busy(present, scaling))
         else:
             needed = max(needed, orders.last_need)
         return ScalingNeed(
@@ -229,7 +241,7 @@
             min_workers=scaling.min_workers,
             max_workers=scaling.max_workers,
             boot_s=scaling.boot_s,
-            prices=scaling.prices,
+            prices=leave_out_prices(scaling.prices, self._fleet.evacuations),
             reclaimable_price=scaling.reclaimable_price,
         )
 
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
@@ -660,6 +660,11 @@
         if member is not None and is_for_relay:
             self._used_as_relay_ms = now.mono_ms
             self._aggregator.add_heartbeat(heartbeat, address, now)
+            # Its hosts may reach the store while no relay does.
+            operator_end = heartbeat.end_offsets.get(Topic.OPERATOR, 0)
+            self._fetcher.fetch_if_behind(
+                {Topic.OPERATOR: operator_end}, (address, self._control_port), now
+            )
 
     def _handle_summary(
         self, summary: RelaySummary, address: str, now: Instant
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -17,6 +17,7 @@
 )
 from waxwingbarrow.gateway.callers import Responder
 from waxwingbarrow.gateway.messages import AttemptOutcome
+from waxwingbarrow.gateway.requests._move_sources import may_continue
 from waxwingbarrow.gateway.requests._moves import PlannedJob
 from waxwingbarrow.gateway.requests._planner import RETRY_AFTER_BUSY_S, Planner
 from waxwingbarrow.gateway.requests._plans import Plan, Refused
@@ -194,6 +195,10 @@
                 plan, upstream, cached_tokens, splitter, responder, moved
             )
             moved = None
+            if isinstance(outcome, Moved) and not may_continue(
+                outcome, self._fleet, self._clock.now()
+            ):
+                outcome = ConnectionLost("the run's data centre is evacuated")
             match outcome:
                 case Moved():
                     moved = outcome
@@ -357,7 +362,8 @@
                 return chosen
             upstream, _ = chosen
             is_permitted = await self._planner.acquire_permit(plan, upstream)
-            if is_permitted and not upstream.gone:
+            is_usable = not upstream.gone and not self._fleet.is_evacuated(upstream)
+            if is_permitted and is_usable:
                 return chosen
 
     def _is_overdue(self, plan: Plan) -> bool:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
@@ -12,6 +12,7 @@
 
 from waxwingbarrow.core import Clock, Instant
 from waxwingbarrow.gateway.base import Codec, Engine, MoveState, write_request_head
+from waxwingbarrow.gateway.requests._move_sources import MoveSources
 from waxwingbarrow.gateway.requests._planner import Planner
 from waxwingbarrow.gateway.requests._plans import Plan
 from waxwingbarrow.gateway.requests._retry_budgets import RetryBudgets
@@ -119,14 +120,15 @@
     ) -> None:
         self._planner = planner
         self._fleet = fleet
+        self._sources = MoveSources(fleet)
         self._codec = codec
         self._clock = clock
         self._retry_budgets = retry_budgets
         self._running_moves: set[asyncio.Task[Moved | None]] = set()
 
     def start_moves(self, now: Instant) -> None:
-        """Start to move the streams that would not finish in time."""
-        for upstream, left_ms in self._fleet.list_leaving(now):
+        """Start to move the streams that would not finish in time; called each tick."""
+        for upstream, left_ms in self._sources.list(now):
             engine = self._planner.find_engine(upstream.entry.service)
             if engine is None or not engine.can_move:
                 continue
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -11,6 +11,7 @@
 from waxwingbarrow.gateway.base import Account, Call, CallMetadata, Codec, Engine, Route
 from waxwingbarrow.gateway.messages import PlacementQuery
 from waxwingbarrow.gateway.requests._durations import StopCheck
+from waxwingbarrow.gateway.requests._evacuation_check import check_evacuation
 from waxwingbarrow.gateway.requests._plans import (
     Plan,
     Refused,
@@ -121,9 +122,9 @@
         name = account.name if account else ""
         service = pick_service(route, metadata.request_id)
         fingerprints = make_fingerprints(call, name, service, metadata)
-        refused = self._check_suspicion(fingerprints, now) or self._check_size(
-            service, metadata
-        )
+        refused = self._check_suspicion(fingerprints, now)
+        refused = refused or self._check_size(service, metadata)
+        refused = refused or check_evacuation(service, self._fleet)
         if refused is not None:
             return refused
         cost = self._quotas.compute_cost(account, metadata)
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
@@ -30,6 +30,7 @@
     merge_part_losses,
     merge_suspects,
 )
+from waxwingbarrow.gateway.upstreams._evacuations import Evacuations
 from waxwingbarrow.gateway.upstreams._events import EVENT_END, EventSplitter
 from waxwingbarrow.gateway.upstreams._fleet import Fleet
 from waxwingbarrow.gateway.upstreams._notices import (
@@ -50,6 +51,7 @@
     "CrashChecker",
     "CrashRecorder",
     "CrashTracker",
+    "Evacuations",
     "EventSplitter",
     "Fingerprints",
     "Fleet",
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
@@ -13,6 +13,7 @@
 )
 from waxwingbarrow.gateway.base import Engine, MemoryBudget, UpstreamEntry
 from waxwingbarrow.gateway.upstreams._channel_pools import ChannelPool
+from waxwingbarrow.gateway.upstreams._evacuations import Evacuations
 from waxwingbarrow.gateway.upstreams._notices import UpstreamNotices
 from waxwingbarrow.gateway.upstreams._response_bounds import MAX_UPSTREAM_BODY_BYTES
 from waxwingbarrow.gateway.upstreams._upstreams import Upstream
@@ -63,15 +64,19 @@
 
     body_memory : MemoryBudget
         Memory for the responses of all upstreams that are read as a whole.
+    evacuations : Evacuations
+        Data centres whose upstreams get nothing.
 
     Parameters
     ----------
     drain_ms : int
         Time for which a leaving upstream goes on serving if its registration does not
         say when it ends.
+    evacuation_ms : int
+        See `Evacuations`.
     """
 
-    def __init__(self, drain_ms: int = 2_000) -> None:
+    def __init__(self, drain_ms: int = 2_000, evacuation_ms: int = 5_000) -> None:
         self._drain_ms = drain_ms
         self._leaving: list[Upstream] = []
         self.upstreams: dict[UpstreamId, Upstream] = {}
@@ -80,6 +85,7 @@
         self.notices = UpstreamNotices()
         self.sent_parts: list[tuple[UpstreamId, tuple[PromptPart, ...]]] = []
         self.body_memory = MemoryBudget(MAX_UPSTREAM_BODY_BYTES)
+        self.evacuations = Evacuations(evacuation_ms)
         self._registrations_hash: int | None = None
         self._upstreams_by_service: dict[ServiceName, list[Upstream]] = {}
 
@@ -209,13 +215,27 @@
     def list_usable(
         self, service: ServiceName, version: VersionName | None
     ) -> list[Upstream]:
-        """Return the upstreams of a service that take new requests.
+        """Return the upstreams of a service that new requests may be sent to.
 
         Parameters
         ----------
         version : VersionName or None
             Version that they must have; any if None.
         """
+        return [
+            upstream
+            for upstream in self.list_accepting(service, version)
+            if not self.is_evacuated(upstream)
+        ]
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Return whether an upstream's data centre is evacuated."""
+        return self.evacuations.is_evacuated(upstream.entry.data_centre)
+
+    def list_accepting(
+        self, service: ServiceName, version: VersionName | None
+    ) -> list[Upstream]:
+        """Return the upstreams that take new requests, evacuated ones included."""
         return [
             upstream
             for upstream in self._upstreams_by_service.get(service, ())
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
@@ -6,6 +6,7 @@
 
 from waxwingbarrow.core import Instant, UpstreamId
 from waxwingbarrow.gateway.base import BoundedFloat, BoundedInt, ResponseMetadata
+from waxwingbarrow.gateway.upstreams._return_limits import ReturnLimits
 
 logger = logging.getLogger("waxwingbarrow.gateway.notices")
 
@@ -63,7 +64,12 @@
     @property
     def last_ms(self) -> int:
         """Monotonic time of the newest statement, or the end of the deferral."""
-        return max(self.changed_ms, self.limit_ms or 0, self.deferred_until_ms)
+        return max(
+            self.changed_ms,
+            self.limit_ms or 0,
+            self.deferred_until_ms,
+            self.permit_at_ms,
+        )
 
 
 class UpstreamNotices:
@@ -71,10 +77,16 @@
 
     A limit holds for all hosts together, so hosts tell each other of limits and of
     upstreams that leave. A time without requests holds for one host only.
+
+    Attributes
+    ----------
+    return_limits : ReturnLimits
+        Limits after an evacuation; each host derives them from the operator's orders.
     """
 
     def __init__(self) -> None:
         self._notices: dict[UpstreamProcess, _Notice] = {}
+        self.return_limits = ReturnLimits()
 
     def note_response(
         self,
@@ -147,9 +159,11 @@
 
         A change of the limit ends the wait.
         """
-        notice = self._find_or_add(process, now)
-        if notice.limit_per_s is not None:
-            notice.permit_at_ms = now.mono_ms + wait_ms
+        if self.find_limit_per_s(process) is None:
+            return
+        unstated = _Notice(changed_ms=now.mono_ms - RETENTION_MS)
+        notice = self._notices.setdefault(process, unstated)
+        notice.permit_at_ms = now.mono_ms + wait_ms
 
     def measure_deferral_ms(self, process: UpstreamProcess, now: Instant) -> int:
         """Return the time for which this host sends an upstream nothing; 0 if none."""
@@ -165,7 +179,8 @@
         The result is None if it does not limit them.
         """
         notice = self._notices.get(process)
-        return None if notice is None else notice.limit_per_s
+        stated_per_s = None if notice is None else notice.limit_per_s
+        return self.return_limits.apply(process, stated_per_s)
 
     def is_leaving(self, process: UpstreamProcess) -> bool:
         """Return whether an upstream has said that it is about to end."""
@@ -175,7 +190,11 @@
     def make_report(self, process: UpstreamProcess, now: Instant) -> NoticeReport:
         """Return what peers are told of an upstream that has stated something."""
         upstream, started_ms = process
-        notice = self._notices[process]
+        # Of an upstream that has stated nothing, the report is too old to replace what
+        # a peer knows.
+        notice = self._notices.get(process) or _Notice(
+            changed_ms=now.mono_ms - RETENTION_MS
+        )
         limit_per_s = NO_LIMIT if notice.limit_per_s is None else notice.limit_per_s
         age_ms = now.mono_ms - (notice.limit_ms or notice.changed_ms)
         return str(upstream), started_ms, limit_per_s, notice.leaving, age_ms
