Skip the check for evacuated upstreams while there is no order

Cause: each choice went through the upstreams of the service twice, also in deployments that never evacuate a data centre.

Run: the evacuation, advice and scaling tests of libs/gateway pass as before; make lint types passes. The saved time was not measured.

--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
@@ -222,11 +222,10 @@
         version : VersionName or None
             Version that they must have; any if None.
         """
-        return [
-            upstream
-            for upstream in self.list_accepting(service, version)
-            if not self.is_evacuated(upstream)
-        ]
+        accepting = self.list_accepting(service, version)
+        if not self.evacuations.count:
+            return accepting
+        return [upstream for upstream in accepting if not self.is_evacuated(upstream)]
 
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Return whether an upstream's data centre is evacuated."""
