Test the order of lease holders where nobody checks fencing tokens

Cause of the fix: a new holder waited from its question to the store. A store that took longer than the slack of 100 ms could renew the previous lease meanwhile, and both acted. The wait now runs from the answer.

Ruled out: a longer slack, as it delays every change of the holder.

--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_duties.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_duties.py
@@ -82,18 +82,30 @@
         self._valid_until_ms = 0
         self._refused_token = 0
 
-    def note_assignment(self, held: bool, generation: int, asked_at: Instant) -> None:
+    def note_assignment(
+        self,
+        held: bool,
+        generation: int,
+        asked_at: Instant,
+        answered_at: Instant | None = None,
+    ) -> None:
         """Apply the store's answer to a renewal that was sent at `asked_at`.
 
         The lease is valid from then on, not from the arrival of the answer, because the
         store may have counted its time to live from then on.
+
+        Parameters
+        ----------
+        answered_at : Instant or None
+            Arrival of the answer, from which a new holder waits: the store may have
+            renewed the previous lease until it answered. None if it arrived at once.
         """
         has_expired = asked_at.mono_ms > self._valid_until_ms
         # The generation also changes when other members join or leave. A host that held
         # the lease in between would still be waiting, so this lease continues unless it
         # has expired.
         if not held or has_expired or self._held_since is None:
-            self._held_since = asked_at if held else None
+            self._held_since = (answered_at or asked_at) if held else None
         self.generation = max(generation, self.generation)
         if held:
             self._valid_until_ms = asked_at.mono_ms + self.ttl_ms - LEASE_MARGIN_MS
@@ -226,7 +238,9 @@
             )
             return
         assignment = renewed.ok_value
-        self._lease.note_assignment(assignment.held, assignment.generation, asked_at)
+        self._lease.note_assignment(
+            assignment.held, assignment.generation, asked_at, self._clock.now()
+        )
 
     async def _act(self) -> None:
         token = self._lease.find_token(self._clock.now())
--- a/libs/gateway/tests/test_duties.py
+++ b/libs/gateway/tests/test_duties.py
@@ -85,6 +85,21 @@
         )
         assert last_valid_ms < lease._wait_ms
 
+    def test_a_new_holder_of_a_slow_store_waits_for_the_previous_lease(self):
+        # Guards against ONE without fencing: the store renewed the previous lease while
+        # the new holder's first renewal, sent before, was on its way.
+        previous, new = self.make_held_lease(), Lease(RETURN_WAIT_MS)
+        previous.note_assignment(True, 7, at(4_250))
+        new.note_assignment(True, 8, at(4_000), at(4_300))
+        acted_together = []
+        for ms in range(4_300, 9_000, 10):
+            if ms % 600 == 0:
+                new.note_assignment(True, 8, at(ms))
+            if previous.find_token(at(ms)) and new.find_token(at(ms)):
+                acted_together.append(ms)
+        assert new.find_token(at(8_990)) == 8
+        assert acted_together == []
+
     def test_a_host_that_left_does_not_act(self):
         lease = self.make_held_lease()
         lease.note_left()
