--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -152,7 +152,7 @@
             for topic in (Topic.OPERATOR, Topic.UPSTREAMS, Topic.STATUS, Topic.HOSTS)
         }
         self._members = Members(host)
-        self._fleet = Fleet(bounds.drain_ms)
+        self._fleet = Fleet(bounds.drain_ms, bounds.evacuation_ms)
         self._fleet.estimates.is_enabled = settings.engine_estimates
         self._fleet.notices.cold.start_host(
             self._started_at,
@@ -509,6 +509,7 @@
             "moves": self._mover.start_moves,
             "scaling": self._note_workers,
             "estimates": self._note_speeds,
+            "evacuations": self._update_evacuations,
             "idle connections": lambda now: self._fleet.close_expired(
                 now.mono_ms / 1000
             ),
@@ -544,6 +545,13 @@
                     service.name, attrs.asdict(speed), first_events
                 )
 
+    def _update_evacuations(self, now: Instant) -> None:
+        evacuations = self._fleet.evacuations
+        if self._store_health.is_unreachable:
+            evacuations.note_out_of_contact(now)
+        self._fleet.notices.return_limits.remove_expired(now)
+        self._metrics.evacuated_data_centres.set(evacuations.count)
+
     def _flush_logs(self, now: Instant) -> None:
         if self._log_handler is not None:
             self._log_handler.flush_lines()
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
@@ -4,7 +4,7 @@
 callers' input.
 """
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from waxwingbarrow.gateway.base._speed_metrics import SpeedMetrics
 
@@ -56,6 +56,11 @@
             "Log lines that were left out to bound the volume",
             registry=self.registry,
         )
+        self.evacuated_data_centres = Gauge(
+            "waxwingbarrow_gateway_evacuated_data_centres",
+            "Data centres whose upstreams get nothing by the operator's order",
+            registry=self.registry,
+        )
 
         self._rooms = Counter(
             "waxwingbarrow_gateway_urgency_total",
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -120,6 +120,9 @@
     cold_over, cold_slack : float
         Requests that a cold upstream may get in any second: the rate that it tolerates
         times `cold_over`, and `cold_slack` more.
+    evacuation_ms : int
+        Time after an operator's order to evacuate a data centre from which no request
+        may reach an upstream there.
     """
 
     grace_s: float = 8.0
@@ -135,6 +138,7 @@
     exposure_slack: float = 50.0
     cold_over: float = attrs.field(default=1.5, validator=in_range(0, 100))
     cold_slack: float = attrs.field(default=5.0, validator=in_range(0, 100_000))
+    evacuation_ms: int = attrs.field(default=5_000, validator=in_range(0, 3_600_000))
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
@@ -24,6 +24,10 @@
     describe_failure,
 )
 from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.duties._evacuated_pools import (
+    leave_out_evacuated,
+    leave_out_prices,
+)
 from waxwingbarrow.gateway.duties._worker_counts import WorkerCounts, count_workers
 from waxwingbarrow.gateway.requests import WorkMeter
 from waxwingbarrow.gateway.upstreams import Fleet
@@ -159,15 +163,17 @@
             orders = self._orders.setdefault(service.name, _ServiceOrders())
             need = self._measure_need(service, orders, now)
             counts = self._count_workers(service.name, now)
-            for pool, count in counts.present.items():
+            evacuations = self._fleet.evacuations
+            present = leave_out_evacuated(counts.present, evacuations)
+            for pool, count in present.items():
                 most_ready = max(orders.most_ready.get(pool, 0), count)
                 orders.most_ready[pool] = most_ready
             state = ScalingState(
-                ready=counts.ready,
-                ordered=orders.ordered,
-                refused_at=orders.refused_at,
-                most_ready=orders.most_ready,
-                warming=counts.warming,
+                ready=leave_out_evacuated(counts.ready, evacuations),
+                ordered=leave_out_evacuated(orders.ordered, evacuations),
+                refused_at=leave_out_evacuated(orders.refused_at, evacuations),
+                most_ready=leave_out_evacuated(orders.most_ready, evacuations),
+                warming=leave_out_evacuated(counts.warming, evacuations),
             )
             if need is None:
                 continue
@@ -179,11 +185,12 @@
                     return
 
     def _count_workers(self, service: ServiceName, now: Instant) -> WorkerCounts:
-        usable = self._fleet.list_usable(service, None)
-        known = {item.entry.version for item in usable}
+        """Count the workers that accept requests, evacuated ones included."""
+        accepting = self._fleet.list_accepting(service, None)
+        known = {item.entry.version for item in accepting}
         stopping = self._find_stopping_versions(service, known)
         return count_workers(
-            [item for item in usable if item.entry.version not in stopping],
+            [item for item in accepting if item.entry.version not in stopping],
             self._fleet,
             self._work_meter.measure_mean_ms(service, now),
             self._find_work_ms_per_worker(now),
@@ -222,7 +229,8 @@
         if self._measure_coverage(now) >= MIN_COVERAGE:
             orders.last_need = needed
         elif orders.last_need is None:
-            # A new holder keeps the workers that it finds.
+            # A new holder keeps the workers that it finds, and replaces those that are
+            # evacuated.
             present = self._count_workers(service.name, now).present.total()
             needed = max(needed, self._find_busy(present, scaling))
         else:
@@ -233,7 +241,7 @@
             min_workers=scaling.min_workers,
             max_workers=scaling.max_workers,
             boot_s=scaling.boot_s,
-            prices=scaling.prices,
+            prices=leave_out_prices(scaling.prices, self._fleet.evacuations),
             reclaimable_price=scaling.reclaimable_price,
         )
 
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -11,6 +11,7 @@
 from waxwingbarrow.gateway.requests._connecting import ConnectPolicy
 from waxwingbarrow.gateway.requests._endings import ResponseWriter
 from waxwingbarrow.gateway.requests._hedging import Hedger
+from waxwingbarrow.gateway.requests._move_sources import may_continue
 from waxwingbarrow.gateway.requests._outcomes import AttemptRecorder
 from waxwingbarrow.gateway.requests._planner import Planner
 from waxwingbarrow.gateway.requests._plans import Plan, Refused
@@ -20,6 +21,7 @@
 from waxwingbarrow.gateway.requests._usage import UsageCounter
 from waxwingbarrow.gateway.upstreams import (
     AttemptFailure,
+    ConnectionLost,
     CrashTracker,
     EventSplitter,
     Fleet,
@@ -150,6 +152,10 @@
                     plan, upstream, placement, splitter, responder
                 )
             moved = None
+            if isinstance(outcome, Moved) and not may_continue(
+                outcome, self._fleet, self._clock.now()
+            ):
+                outcome = ConnectionLost("the run's data centre is evacuated")
             match outcome:
                 case Moved():
                     moved = outcome
@@ -203,7 +209,8 @@
                 return chosen
             upstream, _ = chosen
             is_permitted = await self._planner.acquire_permit(plan, upstream)
-            if is_permitted and not upstream.gone:
+            is_usable = not upstream.gone and not self._fleet.is_evacuated(upstream)
+            if is_permitted and is_usable:
                 return chosen
 
     def _is_overdue(self, plan: Plan) -> bool:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -12,6 +12,7 @@
 from waxwingbarrow.gateway.messages import PlacementQuery
 from waxwingbarrow.gateway.requests._cold_upstreams import find_rule
 from waxwingbarrow.gateway.requests._durations import StopCheck
+from waxwingbarrow.gateway.requests._evacuation_check import check_evacuation
 from waxwingbarrow.gateway.requests._plans import (
     Plan,
     Refused,
@@ -131,9 +132,9 @@
         name = account.name if account else ""
         service = pick_service(route, metadata.request_id)
         fingerprints = make_fingerprints(call, name, service, metadata)
-        refused = self._check_suspicion(fingerprints, now) or check_size(
-            self.find_engine(service), metadata
-        )
+        refused = self._check_suspicion(fingerprints, now)
+        refused = refused or check_size(self.find_engine(service), metadata)
+        refused = refused or check_evacuation(service, self._fleet)
         if refused is not None:
             return refused
         cost = self._quotas.compute_cost(account, metadata)
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/__init__.py
@@ -38,6 +38,7 @@
     EngineEstimates,
     SpeedReport,
 )
+from waxwingbarrow.gateway.upstreams._evacuations import Evacuations
 from waxwingbarrow.gateway.upstreams._events import EVENT_END, EventSplitter
 from waxwingbarrow.gateway.upstreams._fleet import Fleet
 from waxwingbarrow.gateway.upstreams._notices import (
@@ -63,6 +64,7 @@
     "CrashRecorder",
     "CrashTracker",
     "EngineEstimates",
+    "Evacuations",
     "EventSplitter",
     "Fingerprints",
     "Fleet",
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_notices.py
@@ -7,6 +7,7 @@
 from waxwingbarrow.core import Instant, UpstreamId
 from waxwingbarrow.gateway.base import BoundedFloat, BoundedInt, ResponseMetadata
 from waxwingbarrow.gateway.upstreams._cold_phases import ColdPhases
+from waxwingbarrow.gateway.upstreams._return_limits import ReturnLimits
 
 logger = logging.getLogger("waxwingbarrow.gateway.notices")
 
@@ -64,7 +65,12 @@
     @property
     def last_ms(self) -> int:
         """Monotonic time of the newest statement, or the end of the deferral."""
-        return max(self.changed_ms, self.limit_ms or 0, self.deferred_until_ms)
+        return max(
+            self.changed_ms,
+            self.limit_ms or 0,
+            self.deferred_until_ms,
+            self.permit_at_ms,
+        )
 
 
 class UpstreamNotices:
@@ -77,11 +83,14 @@
     ----------
     cold : ColdPhases
         Upstreams that are cold, which limits their requests as well.
+    return_limits : ReturnLimits
+        Limits after an evacuation; each host derives them from the operator's orders.
     """
 
     def __init__(self) -> None:
         self._notices: dict[UpstreamProcess, _Notice] = {}
         self.cold = ColdPhases()
+        self.return_limits = ReturnLimits()
 
     def note_response(
         self,
@@ -159,9 +168,11 @@
         if self.cold.find_limit_per_s(process, now) is not None:
             self.cold.record_permit_wait(process, wait_ms, now)
             return
-        notice = self._find_or_add(process, now)
-        if notice.limit_per_s is not None:
-            notice.permit_at_ms = now.mono_ms + wait_ms
+        if self.find_limit_per_s(process) is None:
+            return
+        unstated = _Notice(changed_ms=now.mono_ms - RETENTION_MS)
+        notice = self._notices.setdefault(process, unstated)
+        notice.permit_at_ms = now.mono_ms + wait_ms
 
     def measure_deferral_ms(self, process: UpstreamProcess, now: Instant) -> int:
         """Return the time for which this host sends an upstream nothing; 0 if none."""
@@ -178,7 +189,8 @@
         The result is None if it does not limit them.
         """
         notice = self._notices.get(process)
-        return None if notice is None else notice.limit_per_s
+        stated_per_s = None if notice is None else notice.limit_per_s
+        return self.return_limits.apply(process, stated_per_s)
 
     def find_lowest_limit_per_s(
         self, process: UpstreamProcess, now: Instant
