Bound what callers make a gateway hold

Cause: a body was a list of pieces of which only the payload was counted; the parser went through everything that was read along with a request; requests were handled although earlier responses were unread; the limits together exceeded the smallest host; the internal endpoints had no limits or timeouts; connections were not limited.

A connection now parses one request at a time. The rest waits unparsed until the response was read, and reading pauses. One budget from size.memory_mb covers heads, bodies, waiting bytes and unread responses; over it pipelined requests are dropped first, then stalled bodies, then the largest, never a handled request. Connections are limited by size.max_descriptors. Internal endpoints have their own limits. The import cycle between _callers and _caller_connections is gone.

Ruled out: 2 ms of parsing for each connection per iteration of the event loop. With 200 bodies in tiny chunks no ordinary request was answered within 20 s; connections therefore take turns, one per iteration.

test_endless_head_behind_a_request_takes_no_memory read the private list of headers of the connection, which has moved. It now bounds headers and unparsed bytes together.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -9,6 +9,7 @@
 import hashlib
 import logging
 import random
+import resource
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -38,10 +39,11 @@
     Supervisor,
     TaskStart,
     Topic,
+    compute_size_limits,
     read_settings,
     split_address,
 )
-from waxwingbarrow.gateway.callers import CallerServer
+from waxwingbarrow.gateway.callers import CallerMemory, CallerServer
 from waxwingbarrow.gateway.configuration import ChangeApplier, Registrations
 from waxwingbarrow.gateway.duties import (
     MEMBER_TTL_MS,
@@ -238,15 +240,31 @@
         self._mover = StreamMover(
             self._planner, self._fleet, codec, clock, self._retry_budgets
         )
+        max_open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limits = compute_size_limits(size, max_open_files)
+        self._fleet.limit_body_memory(limits.upstream_body_bytes)
         self._callers = CallerServer(
-            self._dispatcher.handle, self._find_limits, clock.now_ms
+            self._dispatcher.handle,
+            self._find_limits,
+            clock.now_ms,
+            CallerMemory(limits.caller_memory_bytes),
+            limits.caller_connections,
+            functools.partial(metrics.count_caller_limit, "callers"),
         )
         internal_endpoints = InternalEndpoints(
             self._is_ready, metrics.registry, self._replicas
         )
+        internal_memory = CallerMemory(limits.internal_memory_bytes)
         self._internal_servers = [
             (
-                CallerServer(internal_endpoints.handle, CallerLimits, clock.now_ms),
+                CallerServer(
+                    internal_endpoints.handle,
+                    CallerLimits,
+                    clock.now_ms,
+                    internal_memory,
+                    limits.internal_connections,
+                    functools.partial(metrics.count_caller_limit, "internal"),
+                ),
                 address,
             )
             for address in self._list_internal_addresses()
@@ -445,6 +463,7 @@
             "seeds": self._fetch_from_seeds,
             "duties": self._duty_runner.run,
             "timeouts": self._callers.enforce_timeouts,
+            "internal timeouts": self._enforce_internal_timeouts,
             "settings": self._watch_settings_file,
         }
         for name, start in tasks.items():
@@ -452,6 +471,11 @@
 
     # Background tasks
 
+    async def _enforce_internal_timeouts(self) -> None:
+        await asyncio.gather(
+            *(server.enforce_timeouts() for server, _ in self._internal_servers)
+        )
+
     async def _follow_status(self) -> None:
         """Read the states of rollouts until the store has answered once.
 
--- a/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
@@ -75,10 +75,12 @@
     Bounds,
     CloudSettings,
     GatewaySettings,
+    HostSize,
     StoreSettings,
     read_settings,
     split_address,
 )
+from waxwingbarrow.gateway.base._size_limits import SizeLimits, compute_size_limits
 from waxwingbarrow.gateway.base._socket_options import discard_unsent, set_timeouts
 from waxwingbarrow.gateway.base._supervision import Supervisor, TaskStart
 
@@ -111,6 +113,7 @@
     "GatewaySettings",
     "Headers",
     "HistoryGone",
+    "HostSize",
     "KeyedPage",
     "KeyedRecord",
     "LeaseEnded",
@@ -128,6 +131,7 @@
     "RouteKind",
     "Scaling",
     "Service",
+    "SizeLimits",
     "Store",
     "StoreFailure",
     "StoreRefused",
@@ -139,6 +143,7 @@
     "Unreadable",
     "Unsigned64",
     "UpstreamEntry",
+    "compute_size_limits",
     "configure_logs",
     "decode_json",
     "decode_msgpack",
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
@@ -41,6 +41,12 @@
             buckets=FIRST_EVENT_BUCKETS_S,
             registry=self.registry,
         )
+        self._caller_limits = Counter(
+            "waxwingbarrow_gateway_caller_limits_total",
+            "Limits on what callers occupy that took effect",
+            ("endpoint", "limit"),
+            registry=self.registry,
+        )
         self.unexpected_failures = Counter(
             "waxwingbarrow_gateway_unexpected_failures_total",
             "Failures that no code expects, by the part that failed",
@@ -71,6 +77,16 @@
         """Record the time to the first event of a stream."""
         self._first_event_s.labels(route, account).observe(elapsed_ms / 1000)
 
+    def count_caller_limit(self, endpoint: str, limit: str) -> None:
+        """Count that a limit on what callers occupy took effect.
+
+        Parameters
+        ----------
+        endpoint : str
+            "callers" or "internal".
+        """
+        self._caller_limits.labels(endpoint, limit).inc()
+
     def count_refusal(self, status: int, reason: str) -> None:
         """Count a refusal, a response that the gateway generated itself."""
         self._refusals.labels(str(status), reason).inc()
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_settings.py
@@ -84,7 +84,7 @@
     core_share, core_speed : float
         Number of cores that the process may use, such as 0.5, and their speed relative
         to the core that `MBPS_PER_CORE` is for.
-    memory_mb : int
+    memory_mb : float
         Memory that the process may use, in MiB.
     max_descriptors : int
         Number of file descriptors that the process may have open.
@@ -95,7 +95,7 @@
     link_mbps: float = attrs.field(default=1_000.0, validator=in_range(0.1, 1e6))
     core_share: float = attrs.field(default=1.0, validator=in_range(0.001, 1024))
     core_speed: float = attrs.field(default=1.0, validator=in_range(0.001, 1024))
-    memory_mb: int = attrs.field(default=160, validator=in_range(64, 1_048_576))
+    memory_mb: float = attrs.field(default=160.0, validator=in_range(32, 1e7))
     max_descriptors: int = attrs.field(
         default=1_024, validator=in_range(128, 1_048_576)
     )
--- a/libs/gateway/src/waxwingbarrow/gateway/callers/_caller_connections.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/callers/_caller_connections.py
@@ -1,99 +1,33 @@
-"""HTTP/1.1 connections of callers, and the responses to their requests."""
+"""HTTP/1.1 connections of callers."""
 
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any, cast
-
-import httptools
-
-from waxwingbarrow.gateway.base import Call, Headers, parse_decimal, write_response_head
-
-if TYPE_CHECKING:
-    from waxwingbarrow.gateway.callers._callers import CallerServer
+from typing import cast
+
+from waxwingbarrow.gateway.base import Call
+from waxwingbarrow.gateway.callers._caller_memory import Charge, HoldingKind
+from waxwingbarrow.gateway.callers._closing import ClosingProgress
+from waxwingbarrow.gateway.callers._connection_server import ConnectionServer
+from waxwingbarrow.gateway.callers._request_framing import (
+    ReceiveBuffer,
+    holds_one_request,
+)
+from waxwingbarrow.gateway.callers._request_readers import RequestReader
+from waxwingbarrow.gateway.callers._responders import Responder, write_rejection
+from waxwingbarrow.gateway.callers._turns import MAX_TURN_MS
 
 logger = logging.getLogger("waxwingbarrow.gateway.callers")
 
-# Reading from a connection pauses while this many pipelined requests are queued.
-MAX_PIPELINED = 4
+# Requests that are parsed and not handled yet. The parser may find a few more in the
+# bytes of one step.
+MAX_QUEUED = 4
+# Reading from a connection pauses while this much waits behind a request. Up to it the
+# connection is read, so that a caller that disconnects is noticed.
+MAX_WAITING_BYTES = 16_384
 # A connection is aborted when a caller that does not read its response lets more than
 # this pile up in memory.
 MAX_WRITE_BUFFER_BYTES = 2_097_152
-# Time after which a caller that was refused for lack of memory may come back.
-RETRY_AFTER_MEMORY_S = b"0.5"
-
-
-class Responder:
-    """Writes the response to one request.
-
-    Parameters
-    ----------
-    keep_alive : bool
-        Whether the caller lets the connection stay open after the response.
-
-    Attributes
-    ----------
-    started : bool
-        Whether any byte of the response was written.
-    ended : bool
-        Whether the response is complete or was aborted.
-    """
-
-    def __init__(self, connection: "CallerConnection", keep_alive: bool) -> None:
-        self._connection = connection
-        self._keep_alive = keep_alive
-        self.started = False
-        self.ended = False
-
-    def send(self, status: int, reason: bytes, headers: Headers, body: bytes) -> None:
-        """Write a complete response.
-
-        Parameters
-        ----------
-        reason : bytes
-            Reason phrase; if empty, the standard one of the status.
-        """
-        head = [*headers, (b"Content-Length", b"%d" % len(body))]
-        self._write_head(status, reason, head, body)
-        self._end()
-
-    def start_stream(self, status: int, reason: bytes, headers: Headers) -> None:
-        """Write the head of a response whose body follows in chunks."""
-        head = [*headers, (b"Transfer-Encoding", b"chunked")]
-        self._write_head(status, reason, head, b"")
-
-    def send_chunk(self, data: bytes) -> None:
-        """Write a part of the body."""
-        if data:
-            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-
-    def finish_stream(self) -> None:
-        """End the body."""
-        self._connection.write(b"0\r\n\r\n")
-        self._end()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the caller sees the response as incomplete."""
-        self.ended = True
-        self._connection.abort()
-
-    def _write_head(
-        self, status: int, reason: bytes, headers: Headers, body: bytes
-    ) -> None:
-        self.started = True
-        self._keep_alive = self._keep_alive and not self._connection.is_closing
-        if not self._keep_alive:
-            headers = [*headers, (b"Connection", b"close")]
-        self._connection.write(write_response_head(status, reason, headers) + body)
-
-    def _end(self) -> None:
-        self.ended = True
-        if not self._keep_alive:
-            self._connection.close_after_flush()
-
-
-Handler = Callable[[Call, Responder], Awaitable[None]]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -103,115 +37,123 @@
     ----------
     idle_since_ms : int
         Monotonic time at which the connection opened or the last request ended.
-    head_since_ms : int or None
-        Monotonic time of the first byte of a request whose head is incomplete.
+    body_since_ms : int
+        Monotonic time at which a part of a body arrived last.
+    closing : ClosingProgress
+        Whether it closes, and its caller still reads.
     """
 
-    def __init__(self, server: "CallerServer") -> None:
+    def __init__(self, server: ConnectionServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser: Any = None
+        self._reader = RequestReader(self, server.limits, server.now_ms)
         self._queued: deque[tuple[Call, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._responder: Responder | None = None
         self._closing = False
         # Bodies of the requests that are handled or queued.
         self._handled_bytes = 0
-        self._reset_message()
+        # The same with their heads and the copies of bodies that go to upstreams.
+        self._handled_cost_bytes = 0
+        self._waiting = ReceiveBuffer()
+        self._is_paused = False
+        self._can_write = True
+        self._charge_record = Charge(self, server.memory)
+        # Whether the request that was read is charged as a handled one.
+        self._is_taken = False
         self.idle_since_ms = 0
-        self.head_since_ms: int | None = None
+        self.body_since_ms = 0
+        self.closing = ClosingProgress()
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports do not derive from asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
-        self._parser = httptools.HttpRequestParser(self)
         self.idle_since_ms = self._server.now_ms()
-        self._server.connections.add(self)
+        if not self._server.admit(self):
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         if self._closing:
             return
-        if self.head_since_ms is None and not self._in_body:
-            self.head_since_ms = self._server.now_ms()
-            self._header_bytes = 0
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "an upgrade is not supported")
-        except httptools.HttpParserError as error:
-            self._reject(400, f"the request cannot be parsed: {error}")
+        reader = self._reader
+        is_one_request = False
+        if reader.is_in_body:
+            self.body_since_ms = self._server.now_ms()
+            is_one_request = reader.body.left_bytes >= len(data)
+        elif self._task is None:
+            is_one_request = holds_one_request(data)
+        is_blocked = self._task is not None or not self._can_write
+        if is_blocked or self._waiting.left_bytes or not is_one_request:
+            self._waiting.append(data)
+            self._parse_waiting()
+        else:
+            # Spares ordinary requests the steps.
+            reader.feed(data)
+            if reader.is_in_body or reader.head_since_ms is not None:
+                self._count_message()
+
+    def pause_writing(self) -> None:
+        self._can_write = False
+
+    def resume_writing(self) -> None:
+        self._can_write = True
+        self._charge()
+        if self._task is None:
+            self._continue()
 
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._server.connections.discard(self)
+        self._server.discard(self)
         self._server.incoming.release(self)
+        self._charge_record.release()
         self._closing = True
         self._queued.clear()
+        self._reader.stop()
+        self._waiting.clear()
         if self._task is not None:
             self._task.cancel()
 
-    # httptools callbacks
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-        self._count_header_bytes(len(url))
+    # Interface for RequestReader
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._closing:
+    def take_request(self) -> None:
+        """Queue the request that is complete, if there is memory for it."""
+        if len(self._queued) >= MAX_QUEUED:
+            self._server.count_limit("pipelined requests")
+            self.reject(400, "too many pipelined requests")
             return
-        self._headers.append((name, value))
-        # 4 bytes for the colon, the space and the line end.
-        self._count_header_bytes(len(name) + len(value) + 4)
-
-    def on_headers_complete(self) -> None:
-        self.head_since_ms = None
-        self._in_body = True
-        for name, value in self._headers:
-            lowered = name.lower()
-            if lowered == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            elif lowered == b"content-length":
-                limit = self._server.limits().max_body_bytes
-                if parse_decimal(value.decode("latin-1"), limit) is None:
-                    self._reject(413, "the declared body is too large")
-
-    def on_body(self, body: bytes) -> None:
-        if self._closing:
+        self._server.incoming.release(self)
+        body_bytes = self._reader.body.size_bytes
+        if not self._reserve_memory(body_bytes):
             return
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits().max_body_bytes:
-            self._reject(413, "the body is too large")
-        else:
-            self._server.incoming.add(self, len(body), self._give_up_request)
+        self._handled_bytes += body_bytes
+        self._server.handled_bytes += body_bytes
+        self._queued.append(self._reader.build_call())
+        if self._task is None:
+            self._start_next()
+
+    def reject(self, status: int, reason: str) -> None:
+        """Answer the request that is being read with an error status and disconnect.
 
-    def on_message_complete(self) -> None:
+        While an earlier request is handled, no status is written: the connection closes
+        after the response to that request.
+        """
         if self._closing:
             return
-        self._server.incoming.release(self)
-        if not self._server.can_handle(self._body_bytes):
-            self._reject(503, "the bodies of all requests need too much memory")
-            return
-        self._handled_bytes += self._body_bytes
-        self._server.handled_bytes += self._body_bytes
-        call = Call(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
-            self._server.now_ms(),
+        logger.warning(
+            "request rejected before routing",
+            extra={"status": status, "reason": reason},
         )
-        keep_alive = self._parser.should_keep_alive()
-        self._reset_message()
-        self._queued.append((call, keep_alive))
+        self._closing = True
+        self._server.incoming.release(self)
+        self._reader.stop()
+        self._waiting.clear()
         if self._task is None:
-            self._start_next()
-        elif len(self._queued) >= MAX_PIPELINED and self._transport is not None:
-            self._transport.pause_reading()
+            self.write(write_rejection(status))
+            self.close_after_flush()
 
     # Interface for Responder and CallerServer
 
@@ -220,10 +162,27 @@
         """Whether no further request is read."""
         return self._closing or self._server.is_closing
 
+    @property
+    def head_since_ms(self) -> int | None:
+        """Monotonic time of the first byte of a request whose head is incomplete."""
+        return self._reader.head_since_ms
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled."""
-        return self._task is None and self.head_since_ms is None and not self._in_body
+        return self._task is None and not self._reader.is_in_message
+
+    @property
+    def is_excessive(self) -> bool:
+        """Whether bytes wait behind a request or a response that is not read."""
+        return self._waiting.left_bytes > 0 and (
+            self._task is not None or not self._can_write
+        )
+
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether the body of a request is incomplete."""
+        return self._reader.is_in_body and self._task is None
 
     @property
     def unread_bytes(self) -> int:
@@ -236,9 +195,13 @@
         if transport is None or transport.is_closing():
             return
         transport.write(data)
-        if transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+        unread_bytes = transport.get_write_buffer_size()
+        if unread_bytes > MAX_WRITE_BUFFER_BYTES:
             logger.warning("caller does not read its response; connection aborted")
+            self._server.count_limit("unread response")
             transport.abort()
+        elif unread_bytes > MAX_WAITING_BYTES:
+            self._charge()
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -249,52 +212,130 @@
     def close_after_flush(self) -> None:
         """Close the connection once the written data has been sent."""
         self._closing = True
+        self.closing.begin(self._server.now_ms())
         if self._transport is not None:
             self._transport.close()
 
-    def reject_slow_head(self) -> None:
-        """Reject a request whose head did not arrive in time."""
-        self._reject(408, "the head of the request took too long")
-
-    def _reset_message(self) -> None:
-        self._target = b""
-        self._headers: Headers = []
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._in_body = False
-        self.head_since_ms = None
-
-    def _count_header_bytes(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > self._server.limits().max_header_bytes:
-            self._reject(431, "the head of the request is too large")
-
-    def _reject(self, status: int, reason: str) -> None:
-        """Answer the request that is being read with an error status and disconnect.
+    def drop_for_memory(self) -> None:
+        """Free the memory of the connection, which holds more than others."""
+        if (
+            self._task is None
+            and not self._waiting.left_bytes
+            and not self.unread_bytes
+        ):
+            self._refuse_for_memory()
+        else:
+            self.abort()
+        self._reader.stop()
+        self._waiting.clear()
+        self._charge_record.release()
 
-        While an earlier request is handled, no status is written: the connection closes
-        after the response to that request.
-        """
-        if self._closing:
-            return
-        logger.warning(
-            "request rejected before routing",
-            extra={"status": status, "reason": reason},
-        )
-        self._closing = True
-        if self._task is None:
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            if status == 503:
-                headers.append((b"Retry-After", RETRY_AFTER_MEMORY_S))
-            self.write(write_response_head(status, b"", headers))
-            if self._transport is not None:
-                self._transport.close()
-
-    def _give_up_request(self) -> None:
+    def _refuse_for_memory(self) -> None:
         """Refuse the request that is being read, to free the memory of its body."""
-        self._body.clear()
-        self._reject(503, "the bodies of all requests need too much memory")
+        self._server.count_limit("memory")
+        self.reject(503, "the bodies of all requests need too much memory")
+
+    # Memory and back-pressure
+
+    def take_turn(self) -> None:
+        """Go on parsing a chunked body."""
+        self._continue(has_turn=True)
+
+    def _parse_waiting(self, has_turn: bool = False) -> None:
+        """Parse one request; the rest waits until its response has been read."""
+        waiting, reader, server = self._waiting, self._reader, self._server
+        turn_end_ms: int | None = None
+        while waiting.left_bytes and not self._closing:
+            if self._task is not None or not self._can_write:
+                self._hold_back()
+                return
+            if reader.is_in_body and not reader.body.left_bytes:
+                now_ms = server.now_ms()
+                if turn_end_ms is None:
+                    turn_end_ms = now_ms + MAX_TURN_MS
+                    is_over = server.turns.is_busy and not has_turn
+                else:
+                    is_over = now_ms > turn_end_ms
+                if is_over:
+                    self._pause_reading()
+                    server.turns.add(self)
+                    break
+            reader.feed(waiting.take_step(reader.is_in_body, reader.body.left_bytes))
+        self._count_message()
+
+    def _hold_back(self) -> None:
+        """Stop reading while much waits; charge for it."""
+        max_bytes = self._server.limits().max_header_bytes
+        if (
+            self._task is not None
+            and not self._reader.is_in_message
+            and self._waiting.has_endless_head(max_bytes)
+        ):
+            self.reject(431, "the head of the request is too large")
+            return
+        self._waiting.compact()
+        if self._waiting.left_bytes >= MAX_WAITING_BYTES:
+            self._pause_reading()
+        self._charge()
+
+    def _pause_reading(self) -> None:
+        transport = self._transport
+        if transport is not None and not (self._is_paused or transport.is_closing()):
+            self._is_paused = True
+            transport.pause_reading()
+
+    def _count_message(self) -> None:
+        """Count the memory of the request that is being read."""
+        body = self._reader.body
+        new_bytes = body.size_bytes - body.counted_bytes
+        if new_bytes and not self._closing:
+            body.counted_bytes = body.size_bytes
+            self._server.incoming.add(self, new_bytes, self._refuse_for_memory)
+        is_large = self._reader.size_bytes > MAX_WAITING_BYTES
+        if is_large or self._charge_record.is_recorded:
+            self._charge()
+
+    def _reserve_memory(self, body_bytes: int) -> bool:
+        """Charge for a complete request; refuse it if there is no memory."""
+        if not self._server.can_handle(body_bytes):
+            self._refuse_for_memory()
+            return False
+        # The body is copied for the upstream.
+        cost_bytes = self._reader.head_cost_bytes + 2 * body_bytes
+        self._handled_cost_bytes += cost_bytes
+        record = self._charge_record
+        if self._handled_cost_bytes <= MAX_WAITING_BYTES and not record.is_recorded:
+            return True
+        self._is_taken = True
+        self._charge()
+        self._is_taken = False
+        if self._closing:
+            return False
+        if cost_bytes > MAX_WAITING_BYTES and self._server.memory.is_exhausted:
+            self._handled_cost_bytes -= cost_bytes
+            self._refuse_for_memory()
+            return False
+        return True
+
+    def _charge(self) -> None:
+        """Record what the connection holds, and drop what exceeds the limit."""
+        self.measure()
+        if self._server.memory.is_exhausted:
+            self._server.drop_over_limit()
+
+    def measure(self) -> None:
+        """Record what the connection holds now."""
+        unread_bytes = self.unread_bytes
+        held_bytes = self._handled_cost_bytes + len(self._waiting) + unread_bytes
+        if not self._is_taken:
+            held_bytes += self._reader.size_bytes
+        if self.is_excessive:
+            kind = HoldingKind.EXCESSIVE
+        elif self._handled_cost_bytes and unread_bytes <= MAX_WAITING_BYTES:
+            kind = HoldingKind.HANDLED
+        else:
+            kind = HoldingKind.IN_TRANSIT
+        self._charge_record.record(held_bytes, kind, self._server.now_ms())
 
     def _start_next(self) -> None:
         call, keep_alive = self._queued.popleft()
@@ -320,10 +361,7 @@
             self._finish_request()
 
     def end_request(self) -> None:
-        """Answer the request that is being handled as timed out, if none has begun.
-
-        A response that has begun is broken off, so that it does not look complete.
-        """
+        """Answer the handled request as timed out; break off a response that began."""
         if self._task is None or self._responder is None:
             return
         if not (self._responder.started or self._responder.ended):
@@ -337,10 +375,25 @@
         if is_ended or not self._queued:
             self._server.handled_bytes -= self._handled_bytes
             self._handled_bytes = 0
+            self._handled_cost_bytes = 0
         if is_ended or transport is None:
             if transport is not None:
-                transport.close()
+                self.close_after_flush()
+            return
+        if self._charge_record.is_recorded:
+            self._charge()
+        if self._queued or self._waiting.left_bytes or self._is_paused:
+            self._continue()
+
+    def _continue(self, has_turn: bool = False) -> None:
+        """Go on with the next request, once the caller has read its response."""
+        if self._closing or self._task is not None or not self._can_write:
             return
-        transport.resume_reading()
         if self._queued:
             self._start_next()
+            return
+        self._parse_waiting(has_turn)
+        if self._is_paused and self._waiting.left_bytes < MAX_WAITING_BYTES:
+            self._is_paused = False
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.resume_reading()
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
@@ -83,6 +83,10 @@
         self._registrations_hash: int | None = None
         self._upstreams_by_service: dict[ServiceName, list[Upstream]] = {}
 
+    def limit_body_memory(self, limit_bytes: int) -> None:
+        """Lower the memory for responses that are read as a whole."""
+        self.body_memory.limit_bytes = min(limit_bytes, MAX_UPSTREAM_BODY_BYTES)
+
     def put(self, entry: UpstreamEntry, now: Instant) -> None:
         """Add an upstream, or update it from a newer registration.
 
--- a/libs/gateway/tests/test_caller_memory.py
+++ b/libs/gateway/tests/test_caller_memory.py
@@ -136,7 +136,8 @@
         await writer.drain()
     await asyncio.sleep(0.1)
     (connection,) = served.server.connections
-    assert len(connection._headers) * len(b"X-More: and more") < 2 * 16_384
+    headers = len(connection._reader.headers) * len(b"X-More: and more")
+    assert headers + len(connection._waiting) < 2 * 16_384
     served.unblock.set()
     assert await read_status(reader) == 200
     writer.close()
