--- a/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
@@ -82,10 +82,12 @@
     CloudSettings,
     GatewaySettings,
     HedgingSettings,
+    HostSize,
     StoreSettings,
     read_settings,
     split_address,
 )
+from waxwingbarrow.gateway.base._size_limits import SizeLimits, compute_size_limits
 from waxwingbarrow.gateway.base._socket_options import discard_unsent, set_timeouts
 from waxwingbarrow.gateway.base._supervision import Supervisor, TaskStart
 
@@ -122,6 +124,7 @@
     "Headers",
     "HedgingSettings",
     "HistoryGone",
+    "HostSize",
     "KeyedPage",
     "KeyedRecord",
     "LeaseEnded",
@@ -141,6 +144,7 @@
     "RouteKind",
     "Scaling",
     "Service",
+    "SizeLimits",
     "Store",
     "StoreFailure",
     "StoreRefused",
@@ -152,6 +156,7 @@
     "Unreadable",
     "Unsigned64",
     "UpstreamEntry",
+    "compute_size_limits",
     "configure_logs",
     "decode_json",
     "decode_msgpack",
--- a/libs/gateway/tests/test_hedged_requests.py
+++ b/libs/gateway/tests/test_hedged_requests.py
@@ -93,7 +93,9 @@
         for _ in range(requests):
             self.budgets.record_request(SERVICE, self.clock.now())
         self.second = make_chosen("i-2")
-        notices = types.SimpleNamespace(find_limit_per_s=lambda process: limit_per_s)
+        notices = types.SimpleNamespace(
+            find_lowest_limit_per_s=lambda process, now: limit_per_s
+        )
         settings = {"extra_share": 0.1} | settings
         self.hedger = Hedger(
             HedgingSettings(**settings),
