--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_scaling.py
@@ -162,19 +162,7 @@
                 continue
             orders = self._orders.setdefault(service.name, _ServiceOrders())
             need = self._measure_need(service, orders, now)
-            counts = self._count_workers(service.name, now)
-            evacuations = self._fleet.evacuations
-            present = leave_out_evacuated(counts.present, evacuations)
-            for pool, count in present.items():
-                most_ready = max(orders.most_ready.get(pool, 0), count)
-                orders.most_ready[pool] = most_ready
-            state = ScalingState(
-                ready=leave_out_evacuated(counts.ready, evacuations),
-                ordered=leave_out_evacuated(orders.ordered, evacuations),
-                refused_at=leave_out_evacuated(orders.refused_at, evacuations),
-                most_ready=leave_out_evacuated(orders.most_ready, evacuations),
-                warming=leave_out_evacuated(counts.warming, evacuations),
-            )
+            state = self._measure_state(service.name, orders, now)
             if need is None:
                 continue
             is_rolling_out = self._is_rolling_out(service.name)
@@ -184,6 +172,24 @@
                 if not await self._send(service.name, order, need, token, now):
                     return
 
+    def _measure_state(
+        self, service: ServiceName, orders: _ServiceOrders, now: Instant
+    ) -> ScalingState:
+        """Return the workers and orders of the data centres that are not evacuated."""
+        counts = self._count_workers(service, now)
+        evacuations = self._fleet.evacuations
+        present = leave_out_evacuated(counts.present, evacuations)
+        for pool, count in present.items():
+            most_ready = max(orders.most_ready.get(pool, 0), count)
+            orders.most_ready[pool] = most_ready
+        return ScalingState(
+            ready=leave_out_evacuated(counts.ready, evacuations),
+            ordered=leave_out_evacuated(orders.ordered, evacuations),
+            refused_at=leave_out_evacuated(orders.refused_at, evacuations),
+            most_ready=leave_out_evacuated(orders.most_ready, evacuations),
+            warming=leave_out_evacuated(counts.warming, evacuations),
+        )
+
     def _count_workers(self, service: ServiceName, now: Instant) -> WorkerCounts:
         """Count the workers that accept requests, evacuated ones included."""
         accepting = self._fleet.list_accepting(service, None)
--- a/libs/gateway/tests/test_evacuated_scaling.py
+++ b/libs/gateway/tests/test_evacuated_scaling.py
@@ -13,7 +13,7 @@
 from waxwingbarrow.core import DataCentre, Instant, UpstreamId
 from waxwingbarrow.gateway.base._model import Scaling, Service
 from waxwingbarrow.gateway.duties._duties import Lease
-from waxwingbarrow.gateway.duties._scaling import ScalingTask
+from waxwingbarrow.gateway.duties._scaling import ScalingTask, _ServiceOrders
 from waxwingbarrow.gateway.requests._work_meter import WorkMeter
 from waxwingbarrow.gateway.upstreams._fleet import Fleet
 
@@ -170,6 +170,8 @@
 def test_an_evacuated_worker_does_not_count_as_ready():
     holder = Holder()
     holder.fleet.evacuations.note_order(EVACUATED, 1, at(0))
-    ready = holder.task._count_ready(POOL)
+    state = holder.task._measure_state(POOL, _ServiceOrders(), at(0))
     kind = holder.is_reclaimable
-    assert ready == {WorkerPool(c, kind): WORKERS for c in CENTRES if c != EVACUATED}
+    assert state.ready == {
+        WorkerPool(c, kind): WORKERS for c in CENTRES if c != EVACUATED
+    }
