--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -27,7 +27,7 @@
     QuotaAdmission,
     QuotaKeeper,
     Quotas,
-    ServiceRooms,
+    ServiceAdmissions,
 )
 from waxwingbarrow.gateway.base import (
     BootClock,
@@ -73,11 +73,11 @@
     StoreHealth,
 )
 from waxwingbarrow.gateway.requests import (
+    CapacityGate,
     Dispatcher,
     Planner,
     RetryBudgets,
     Rollouts,
-    RoomGate,
     StreamMover,
     UsageCounter,
     WorkMeter,
@@ -203,12 +203,12 @@
         )
         policy = PlacementPolicy(data_centre=data_centre)
         # What this host decides as the keeper, for all hosts, and alone, for itself.
-        keeper_rooms: ServiceRooms | None = None
-        room_gate: RoomGate | None = None
+        keeper_admissions: ServiceAdmissions | None = None
+        capacity_gate: CapacityGate | None = None
         if settings.admission.by_urgency:
-            keeper_rooms = ServiceRooms(settings.admission, self._rng)
-            room_gate = RoomGate(
-                ServiceRooms(settings.admission, self._rng),
+            keeper_admissions = ServiceAdmissions(settings.admission, self._rng)
+            capacity_gate = CapacityGate(
+                ServiceAdmissions(settings.admission, self._rng),
                 self._quota_admission,
                 self._work_meter,
                 metrics,
@@ -223,7 +223,7 @@
             self._rng,
             lambda service: self._planner.find_engine(service),
             self._permits.keeper,
-            keeper_rooms,
+            keeper_admissions,
         )
         self._planner = Planner(
             codec,
@@ -237,7 +237,7 @@
             self._rng,
             lambda now: self._change_applier.measure_upstreams_age_ms(now),
             self._permits,
-            room_gate,
+            capacity_gate,
         )
         self._change_applier = ChangeApplier(
             codec,
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/__init__.py
@@ -15,8 +15,8 @@
 )
 from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway.admission._quotas import Quotas
-from waxwingbarrow.gateway.admission._service_rooms import (
-    ServiceRooms,
+from waxwingbarrow.gateway.admission._service_admissions import (
+    ServiceAdmissions,
     measure_capacity,
 )
 
@@ -33,6 +33,6 @@
     "QuotaAdmission",
     "QuotaKeeper",
     "Quotas",
-    "ServiceRooms",
+    "ServiceAdmissions",
     "measure_capacity",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_placements.py
@@ -17,8 +17,8 @@
 from waxwingbarrow.core import DataCentre, Instant, ServiceName, UpstreamId, VersionName
 from waxwingbarrow.gateway.admission._permit_keeper import PermitKeeper
 from waxwingbarrow.gateway.admission._quota_admission import AdviceSource, RequestKey
-from waxwingbarrow.gateway.admission._service_rooms import (
-    ServiceRooms,
+from waxwingbarrow.gateway.admission._service_admissions import (
+    ServiceAdmissions,
     measure_capacity,
 )
 from waxwingbarrow.gateway.base import Engine
@@ -26,9 +26,9 @@
     MESSAGE_FORMAT,
     AttemptOutcome,
     AttemptReport,
+    CapacityDecision,
     PlacementAdvice,
     PlacementQuery,
-    RoomDecision,
 )
 from waxwingbarrow.gateway.upstreams import EngineEstimates, Fleet, Upstream
 from waxwingbarrow.routing import (
@@ -52,7 +52,7 @@
         Its data centre is replaced by that of the host that asks.
     find_engine : callable
         Returns the properties of a service's engines; None if they are not known.
-    rooms : ServiceRooms or None
+    admissions : ServiceAdmissions or None
         Decides which requests are served while engines are scarce; None if all are that
         can start in time.
     """
@@ -64,14 +64,14 @@
         rng: random.Random,
         find_engine: Callable[[ServiceName], Engine | None],
         permit_keeper: PermitKeeper,
-        rooms: ServiceRooms | None = None,
+        admissions: ServiceAdmissions | None = None,
     ) -> None:
         self._fleet = fleet
         self._permit_keeper = permit_keeper
         self._policy = policy
         self._rng = rng
         self._find_engine = find_engine
-        self._rooms = rooms
+        self._admissions = admissions
         self._backlog = BacklogTracker(
             BacklogPolicy(prefill_tokens_per_ms=policy.prefill_tokens_per_ms),
             fleet.find_usual_slowdown,
@@ -118,13 +118,13 @@
         placement = chosen.ok_value
         view = placement.view
         is_placed = placement.start_ms <= query.latest_start_ms
-        room = None
-        if self._rooms is not None and query.room is not None:
+        admission = None
+        if self._admissions is not None and query.admission is not None:
             capacity = measure_capacity(placement, views, query.prompt_tokens, policy)
-            room = self._rooms.decide(
-                service, query.room, query.latest_start_ms, capacity, now
+            admission = self._admissions.decide(
+                service, query.admission, query.latest_start_ms, capacity, now
             )
-            is_placed = room.decision is RoomDecision.SERVE
+            is_placed = admission.decision is CapacityDecision.SERVE
         if is_placed:
             process = self._fleet.upstreams[view.upstream].process
             self._permit_keeper.take(process, now)
@@ -143,7 +143,7 @@
             view.running,
             placement.candidates,
             is_placed,
-            room,
+            admission,
             self._fleet.is_cold(self._fleet.upstreams[view.upstream], now),
         )
 
@@ -187,8 +187,8 @@
     def reset(self) -> None:
         """Forget all placements, because another host places the requests now."""
         self._backlog.clear()
-        if self._rooms is not None:
-            self._rooms.reset()
+        if self._admissions is not None:
+            self._admissions.reset()
 
 
 class AttemptReporter:
--- a/libs/gateway/src/waxwingbarrow/gateway/admission/_service_rooms.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/admission/_service_admissions.py
@@ -5,41 +5,45 @@
 
 from waxwingbarrow.core import AccountId, Instant, ServiceName
 from waxwingbarrow.gateway.base import AdmissionSettings
-from waxwingbarrow.gateway.messages import RoomAnswer, RoomDecision, RoomQuery
+from waxwingbarrow.gateway.messages import (
+    CapacityAnswer,
+    CapacityDecision,
+    CapacityQuery,
+)
 from waxwingbarrow.limits import (
+    CapacityAdmission,
+    CapacityAdmissionPolicy,
+    CapacityRequest,
     FreeCapacity,
     RefuseUntil,
-    RoomAdmission,
-    RoomPolicy,
-    RoomRequest,
     ServeNow,
     WaitFor,
 )
 from waxwingbarrow.routing import Placement, PlacementPolicy, WorkerView
 
 
-class ServiceRooms:
+class ServiceAdmissions:
     """Decides on requests to model engines, separately for each service.
 
     Parameters
     ----------
     rng : random.Random
-        See `RoomAdmission`.
+        See `CapacityAdmission`.
     """
 
     def __init__(self, settings: AdmissionSettings, rng: random.Random) -> None:
-        self._policy = RoomPolicy(scarce_share=settings.scarce_share)
+        self._policy = CapacityAdmissionPolicy(scarce_share=settings.scarce_share)
         self._rng = rng
-        self._rooms: dict[ServiceName, RoomAdmission] = {}
+        self._admissions: dict[ServiceName, CapacityAdmission] = {}
 
     def decide(
         self,
         service: ServiceName,
-        query: RoomQuery,
+        query: CapacityQuery,
         latest_start_ms: float,
         capacity: FreeCapacity,
         now: Instant,
-    ) -> RoomAnswer:
+    ) -> CapacityAnswer:
         """Decide on a request.
 
         Parameters
@@ -49,10 +53,12 @@
         latest_start_ms : float
             Time in which the request must have started.
         """
-        room = self._rooms.get(service)
-        if room is None:
-            room = self._rooms[service] = RoomAdmission(self._policy, self._rng)
-        request = RoomRequest(
+        admission = self._admissions.get(service)
+        if admission is None:
+            admission = self._admissions[service] = CapacityAdmission(
+                self._policy, self._rng
+            )
+        request = CapacityRequest(
             priority=query.priority,
             account=AccountId(query.account),
             objective_ms=query.objective_ms,
@@ -60,20 +66,22 @@
             promise=query.promise,
             request_hash=query.request_hash,
         )
-        match room.decide(request, capacity, now):
+        match admission.decide(request, capacity, now):
             case ServeNow(is_promised):
-                return RoomAnswer(RoomDecision.SERVE, is_promised=is_promised)
+                return CapacityAnswer(CapacityDecision.SERVE, is_promised=is_promised)
             case WaitFor(wait_ms, promise):
-                return RoomAnswer(RoomDecision.WAIT, round(wait_ms, 1), promise, True)
+                return CapacityAnswer(
+                    CapacityDecision.WAIT, round(wait_ms, 1), promise, True
+                )
             case RefuseUntil(retry_after_s, is_promised):
                 after_ms = round(retry_after_s * 1000, 1)
-                return RoomAnswer(
-                    RoomDecision.REFUSE, after_ms, is_promised=is_promised
+                return CapacityAnswer(
+                    CapacityDecision.REFUSE, after_ms, is_promised=is_promised
                 )
 
     def reset(self) -> None:
         """Forget all demand and promises, because another host decides now."""
-        self._rooms.clear()
+        self._admissions.clear()
 
 
 def measure_capacity(
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_metrics.py
@@ -9,7 +9,7 @@
 from waxwingbarrow.gateway.base._speed_metrics import SpeedMetrics
 
 REQUEST_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 15)
-ROOM_WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2)
+CAPACITY_WAIT_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2)
 FIRST_EVENT_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.31, 0.5, 0.8, 1.2, 2, 5)
 
 
@@ -68,17 +68,17 @@
             registry=self.registry,
         )
 
-        self._rooms = Counter(
+        self._admissions = Counter(
             "waxwingbarrow_gateway_urgency_total",
             "Requests to model engines by priority and what admission by urgency did",
             ("priority", "result"),
             registry=self.registry,
         )
-        self._room_wait_s = Histogram(
+        self._capacity_wait_s = Histogram(
             "waxwingbarrow_gateway_urgency_wait_seconds",
-            "Time for which served requests waited for room at the engines",
+            "Time for which served requests waited for capacity at the engines",
             ("priority",),
-            buckets=ROOM_WAIT_BUCKETS_S,
+            buckets=CAPACITY_WAIT_BUCKETS_S,
             registry=self.registry,
         )
         self._cold_permits = Counter(
@@ -120,11 +120,13 @@
         """Count a refusal, a response that the gateway generated itself."""
         self._refusals.labels(str(status), reason).inc()
 
-    def count_room(self, priority: int, result: str, waited_ms: int) -> None:
+    def count_capacity_decision(
+        self, priority: int, result: str, waited_ms: int
+    ) -> None:
         """Count a decision of admission by urgency, and the wait before it if any."""
-        self._rooms.labels(str(priority), result).inc()
+        self._admissions.labels(str(priority), result).inc()
         if waited_ms:
-            self._room_wait_s.labels(str(priority)).observe(waited_ms / 1000)
+            self._capacity_wait_s.labels(str(priority)).observe(waited_ms / 1000)
 
     def count_cold_permit(self, is_granted: bool) -> None:
         """Count whether a request got a permit for a cold upstream."""
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/__init__.py
@@ -1,5 +1,10 @@
 """Messages between hosts, and their division into datagrams."""
 
+from waxwingbarrow.gateway.messages._capacity_admission import (
+    CapacityAnswer,
+    CapacityDecision,
+    CapacityQuery,
+)
 from waxwingbarrow.gateway.messages._fragments import Fragmenter, Reassembler
 from waxwingbarrow.gateway.messages._messages import (
     MESSAGE_FORMAT,
@@ -17,12 +22,14 @@
     decode_message,
     encode_message,
 )
-from waxwingbarrow.gateway.messages._room import RoomAnswer, RoomDecision, RoomQuery
 
 __all__ = [
     "MESSAGE_FORMAT",
     "AttemptOutcome",
     "AttemptReport",
+    "CapacityAnswer",
+    "CapacityDecision",
+    "CapacityQuery",
     "Fragmenter",
     "Heartbeat",
     "Message",
@@ -34,9 +41,6 @@
     "QuotaRequest",
     "Reassembler",
     "RelaySummary",
-    "RoomAnswer",
-    "RoomDecision",
-    "RoomQuery",
     "decode_message",
     "encode_message",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_room.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_capacity_admission.py
@@ -7,7 +7,7 @@
 from waxwingbarrow.gateway.base import BoundedFloat, BoundedInt, Unsigned64
 
 
-class RoomQuery(msgspec.Struct, array_like=True, frozen=True):
+class CapacityQuery(msgspec.Struct, array_like=True, frozen=True):
     """What the admission of a request depends on while engines are scarce.
 
     Hosts send it as an array, so the order of the fields is part of the format.
@@ -33,7 +33,7 @@
     request_hash: Unsigned64 = 0
 
 
-class RoomDecision(enum.IntEnum):
+class CapacityDecision(enum.IntEnum):
     """What happens to a request.
 
     Attributes
@@ -51,8 +51,8 @@
     REFUSE = 3
 
 
-class RoomAnswer(msgspec.Struct, array_like=True, frozen=True):
-    """Answer to a `RoomQuery`.
+class CapacityAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """Answer to a `CapacityQuery`.
 
     Hosts send it as an array, so the order of the fields is part of the format.
 
@@ -63,10 +63,10 @@
     promise : int
         Number of the promise with which it waits; 0 if it does not.
     is_promised : bool
-        Whether a promise was kept, or room is reserved for its return.
+        Whether a promise was kept, or capacity is reserved for its return.
     """
 
-    decision: RoomDecision
+    decision: CapacityDecision
     after_ms: BoundedFloat = 0.0
     promise: BoundedInt = 0
     is_promised: bool = False
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -13,7 +13,11 @@
     Unsigned64,
     decode_with,
 )
-from waxwingbarrow.gateway.messages._room import RoomAnswer, RoomDecision, RoomQuery
+from waxwingbarrow.gateway.messages._capacity_admission import (
+    CapacityAnswer,
+    CapacityDecision,
+    CapacityQuery,
+)
 from waxwingbarrow.gateway.upstreams import (
     ColdReport,
     NoticeReport,
@@ -188,7 +192,7 @@
         Version that the upstream must have; empty if any may be used.
     excluded_versions, avoided_upstreams : list
         Versions and upstreams that must not be used.
-    room : RoomQuery or None
+    capacity : CapacityQuery or None
         Set if the request is to be admitted by urgency.
     """
 
@@ -201,7 +205,7 @@
     version: str = ""
     excluded_versions: list[str] = []
     avoided_upstreams: list[str] = []
-    room: RoomQuery | None = None
+    admission: CapacityQuery | None = None
 
 
 class PlacementAdvice(msgspec.Struct, array_like=True, frozen=True):
@@ -221,7 +225,7 @@
         Number of upstreams that could be used.
     is_permitted : bool
         Whether a permit was taken, if the upstream limits its requests.
-    room : RoomAnswer or None
+    capacity : CapacityAnswer or None
         Whether the request is served, if the query asked for it and the sender decides.
     is_cold : bool
         Whether the sender knows that the upstream is cold, so that the permit covers
@@ -234,13 +238,16 @@
     running: BoundedInt
     candidates: BoundedInt
     is_permitted: bool = False
-    room: RoomAnswer | None = None
+    admission: CapacityAnswer | None = None
     is_cold: bool = False
 
     @property
     def is_refused(self) -> bool:
         """Whether the request must not be served."""
-        return self.room is not None and self.room.decision is RoomDecision.REFUSE
+        return (
+            self.admission is not None
+            and self.admission.decision is CapacityDecision.REFUSE
+        )
 
 
 class AttemptOutcome(enum.IntEnum):
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_room_gate.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_capacity_gate.py
@@ -16,16 +16,16 @@
     Admission,
     OverLimit,
     QuotaAdmission,
-    ServiceRooms,
+    ServiceAdmissions,
     measure_capacity,
 )
 from waxwingbarrow.gateway.base import Metrics
 from waxwingbarrow.gateway.messages import (
+    CapacityAnswer,
+    CapacityDecision,
+    CapacityQuery,
     PlacementAdvice,
     PlacementQuery,
-    RoomAnswer,
-    RoomDecision,
-    RoomQuery,
 )
 from waxwingbarrow.gateway.requests._plans import Plan, Refused
 from waxwingbarrow.gateway.requests._routes import pick_service
@@ -41,15 +41,15 @@
 # smallest host has 160 MB.
 MAX_WAITING = 256
 MAX_WAITING_BYTES = 8_000_000
-NO_ROOM = "engines are busy"
+NO_CAPACITY = "engines are busy"
 
 
-class RoomGate:
+class CapacityGate:
     """Lets requests to model engines wait, or refuses them, by urgency.
 
     Parameters
     ----------
-    rooms : ServiceRooms
+    admissions : ServiceAdmissions
         Decides on requests that no keeper decided on.
     count_hosts : callable
         Returns the number of hosts that share the engines.
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        rooms: ServiceRooms,
+        admissions: ServiceAdmissions,
         quota_admission: QuotaAdmission,
         work_meter: WorkMeter,
         metrics: Metrics,
@@ -71,7 +71,7 @@
         find_speed: Callable[[ServiceName, Instant], EngineSpeed],
     ) -> None:
         self._find_speed = find_speed
-        self._rooms = rooms
+        self._admissions = admissions
         self._quota_admission = quota_admission
         self._work_meter = work_meter
         self._metrics = metrics
@@ -81,15 +81,15 @@
         self._waiting = 0
         self._waiting_bytes = 0
 
-    def make_query(self, plan: Plan) -> RoomQuery | None:
+    def make_query(self, plan: Plan) -> CapacityQuery | None:
         """Return what the keeper needs to decide on a request.
 
         Returns None for a stream that goes on from an earlier request, which has
         started already.
         """
-        if plan.metadata.after_event is not None or plan.has_room:
+        if plan.metadata.after_event is not None or plan.has_capacity:
             return None
-        return RoomQuery(
+        return CapacityQuery(
             priority=plan.priority,
             account=plan.account.name if plan.account is not None else "",
             objective_ms=plan.route.objective_ms,
@@ -130,14 +130,14 @@
 
     def _apply_advice(self, plan: Plan) -> Refused | None:
         advice = plan.advice
-        if advice is None or advice.room is None:
+        if advice is None or advice.admission is None:
             return None
         source = plan.advice_source
         decided_by = (source.keeper if source is not None else "") or "keeper"
-        if advice.room.decision is not RoomDecision.SERVE:
+        if advice.admission.decision is not CapacityDecision.SERVE:
             plan.advice = None
             self._count_work(plan, advice)
-        return self._apply(plan, advice.room, advice.start_ms, decided_by)
+        return self._apply(plan, advice.admission, advice.start_ms, decided_by)
 
     def check(
         self,
@@ -161,18 +161,20 @@
             self._policy,
             1 / max(self._count_hosts(now), 1),
         )
-        answer = self._rooms.decide(service, query, latest_start_ms, capacity, now)
+        answer = self._admissions.decide(service, query, latest_start_ms, capacity, now)
         return self._apply(plan, answer, placement.start_ms, "own share")
 
     def _apply(
-        self, plan: Plan, answer: RoomAnswer, start_ms: float, decided_by: str
+        self, plan: Plan, answer: CapacityAnswer, start_ms: float, decided_by: str
     ) -> Refused | None:
-        plan.trace.room_decided_by = decided_by
+        plan.trace.capacity_decided_by = decided_by
         plan.promise = answer.promise
-        if answer.decision is RoomDecision.SERVE:
-            plan.has_room = True
-            result = "after a wait" if plan.trace.room_wait_ms else "at once"
-            self._metrics.count_room(plan.priority, result, plan.trace.room_wait_ms)
+        if answer.decision is CapacityDecision.SERVE:
+            plan.has_capacity = True
+            result = "after a wait" if plan.trace.capacity_wait_ms else "at once"
+            self._metrics.count_capacity_decision(
+                plan.priority, result, plan.trace.capacity_wait_ms
+            )
             return None
         inputs: dict[str, object] = {
             "route": plan.route.name,
@@ -180,24 +182,24 @@
             "priority": plan.priority,
             "start_ms": start_ms,
             "is_promised": answer.is_promised,
-            "room_decided_by": decided_by,
-            "room_wait_ms": plan.trace.room_wait_ms,
+            "capacity_decided_by": decided_by,
+            "capacity_wait_ms": plan.trace.capacity_wait_ms,
         }
-        is_wait = answer.decision is RoomDecision.WAIT
+        is_wait = answer.decision is CapacityDecision.WAIT
         if not is_wait:
-            self._metrics.count_room(plan.priority, "refused", 0)
+            self._metrics.count_capacity_decision(plan.priority, "refused", 0)
         return Refused(
             503,
-            NO_ROOM,
+            NO_CAPACITY,
             answer.after_ms / 1000,
             inputs,
             answer.after_ms if is_wait else None,
         )
 
     async def wait(self, plan: Plan, refused: Refused) -> bool:
-        """Wait for room; return whether the request should be decided on again.
+        """Wait for capacity; return whether the request should be decided on again.
 
-        A request that finds too many others waiting is refused. The room that was
+        A request that finds too many others waiting is refused. The capacity that was
         reserved for it is there when its caller comes back.
         """
         if refused.wait_ms is None:
@@ -207,7 +209,9 @@
             self._waiting >= MAX_WAITING
             or self._waiting_bytes + size > MAX_WAITING_BYTES
         ):
-            self._metrics.count_room(plan.priority, "refused, host full", 0)
+            self._metrics.count_capacity_decision(
+                plan.priority, "refused, host full", 0
+            )
             return False
         started = self._clock.now()
         self._waiting += 1
@@ -218,7 +222,7 @@
             self._waiting -= 1
             self._waiting_bytes -= size
             waited_ms = self._clock.now().mono_ms - started.mono_ms
-            plan.trace.room_wait_ms += waited_ms
+            plan.trace.capacity_wait_ms += waited_ms
         return True
 
     def _count_work(self, plan: Plan, advice: PlacementAdvice) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -198,9 +198,9 @@
     ) -> tuple[Upstream, Placement] | Refused:
         """Choose an upstream that accepts the request; see `Planner.acquire_permit`.
 
-        While engines are scarce, wait for room; see `RoomGate`.
+        While engines are scarce, wait for capacity; see `CapacityGate`.
         """
-        gate = self._planner.room_gate
+        gate = self._planner.capacity_gate
         while True:
             chosen = self._planner.select_upstream(plan, self._clock.now())
             if isinstance(chosen, Refused):
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_endings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_endings.py
@@ -139,7 +139,7 @@
                 "upstreams_age_ms": trace.upstreams_age_ms,
                 "is_advised": trace.is_advised,
                 "first_event_ms": trace.first_event_ms,
-                "room_decided_by": trace.room_decided_by,
-                "room_wait_ms": trace.room_wait_ms,
+                "capacity_decided_by": trace.capacity_decided_by,
+                "capacity_wait_ms": trace.capacity_wait_ms,
             },
         )
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -10,6 +10,7 @@
 from waxwingbarrow.gateway.admission import Permits, QuotaAdmission, Quotas
 from waxwingbarrow.gateway.base import Account, Call, CallMetadata, Codec, Engine, Route
 from waxwingbarrow.gateway.messages import PlacementQuery
+from waxwingbarrow.gateway.requests._capacity_gate import CapacityGate
 from waxwingbarrow.gateway.requests._cold_upstreams import find_rule
 from waxwingbarrow.gateway.requests._durations import StopCheck
 from waxwingbarrow.gateway.requests._evacuation_check import check_evacuation
@@ -25,7 +26,6 @@
     describe_quota,
 )
 from waxwingbarrow.gateway.requests._rollouts import Rollouts
-from waxwingbarrow.gateway.requests._room_gate import RoomGate
 from waxwingbarrow.gateway.requests._routes import (
     NoAccount,
     NoRoute,
@@ -60,7 +60,7 @@
     ----------
     measure_upstreams_age_ms : callable
         Returns the age of the known registrations of upstreams, for the log.
-    room_gate : RoomGate or None
+    capacity_gate : CapacityGate or None
         Admits requests by urgency; None if that is not enabled.
 
     Attributes
@@ -84,7 +84,7 @@
         rng: random.Random,
         measure_upstreams_age_ms: Callable[[Instant], int | None],
         permits: Permits,
-        room_gate: RoomGate | None = None,
+        capacity_gate: CapacityGate | None = None,
     ) -> None:
         self._codec = codec
         self._fleet = fleet
@@ -97,7 +97,7 @@
         self._rng = rng
         self._measure_upstreams_age_ms = measure_upstreams_age_ms
         self._permits = permits
-        self.room_gate = room_gate
+        self.capacity_gate = capacity_gate
         self.table: RouteTable | None = None
         self.stop_check = StopCheck()
 
@@ -176,7 +176,7 @@
         """Charge a request to its account; return a refusal if it is over the limit.
 
         Waits only if another host decides on the account's limit or the placement, or
-        for room at the engines.
+        for capacity at the engines.
         """
         query = self._make_query(plan, now)
         admitted = await self._quota_admission.admit(
@@ -190,9 +190,9 @@
         admission = admitted.ok_value
         plan.charge = admission.charge
         plan.advice, plan.advice_source = admission.advice, admission.source
-        if self.room_gate is None:
+        if self.capacity_gate is None:
             return None
-        return await self.room_gate.ask_until_decided(plan, self._make_query)
+        return await self.capacity_gate.ask_until_decided(plan, self._make_query)
 
     def _make_query(self, plan: Plan, now: Instant) -> PlacementQuery | None:
         """Return what the keeper needs to place a request to a model engine."""
@@ -219,7 +219,9 @@
                 if self._fleet.is_suspect(upstream, now)
                 or self._fleet.is_deferred(upstream, now)
             ],
-            room=self.room_gate.make_query(plan) if self.room_gate else None,
+            admission=self.capacity_gate.make_query(plan)
+            if self.capacity_gate
+            else None,
         )
 
     def select_upstream(
@@ -272,9 +274,11 @@
                 at_normal_speed, work, self._policy
             )
         remaining_ms = plan.deadline.mono_ms - now.mono_ms
-        if self.room_gate is not None and engine is not None and views is not None:
+        if self.capacity_gate is not None and engine is not None and views is not None:
             latest_ms = remaining_ms * LATEST_START_FRACTION
-            held = self.room_gate.check(plan, service, placement, views, latest_ms, now)
+            held = self.capacity_gate.check(
+                plan, service, placement, views, latest_ms, now
+            )
             if held is not None:
                 return held
         if placement.start_ms > remaining_ms * LATEST_START_FRACTION:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -35,12 +35,12 @@
         Whether the quota keeper chose the upstream.
     first_event_ms : int or None
         Time from the last attempt to its first event, for a stream.
-    room_decided_by : str
+    capacity_decided_by : str
         Address of the keeper that decided whether the request is served while engines
         are scarce, "keeper" for this host as the keeper, "own share" for this host
         without one; empty if that is not decided.
-    room_wait_ms : int
-        Time for which the request waited for room.
+    capacity_wait_ms : int
+        Time for which the request waited for capacity.
     """
 
     request_id: str
@@ -55,8 +55,8 @@
     upstreams_age_ms: int | None = None
     is_advised: bool = False
     first_event_ms: int | None = None
-    room_decided_by: str = ""
-    room_wait_ms: int = 0
+    capacity_decided_by: str = ""
+    capacity_wait_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -96,10 +96,10 @@
         move continues the same run, so it does not count against the attempts allowed.
     tried_upstreams : set of UpstreamId
         Upstreams to which it was sent.
-    has_room : bool
-        Whether it was admitted while engines are scarce; see `RoomGate`.
+    has_capacity : bool
+        Whether it was admitted while engines are scarce; see `CapacityGate`.
     promise : int
-        Number of the promise with which it waits for room; 0 if it does not.
+        Number of the promise with which it waits for capacity; 0 if it does not.
     open_attempts : int
         Attempts that still run and are not counted as delivered, while another one is
         started beside them.
@@ -124,7 +124,7 @@
     delivered_attempts: int = 0
     moves: int = 0
     tried_upstreams: set[UpstreamId] = attrs.Factory(set)
-    has_room: bool = False
+    has_capacity: bool = False
     promise: int = 0
     open_attempts: int = 0
 
--- a/libs/gateway/tests/test_room_gate.py
+++ b/libs/gateway/tests/test_capacity_gate.py
@@ -27,7 +27,7 @@
     QuotaAdmission,
     QuotaKeeper,
     Quotas,
-    ServiceRooms,
+    ServiceAdmissions,
 )
 from waxwingbarrow.gateway.base import (
     Account,
@@ -45,13 +45,13 @@
 )
 from waxwingbarrow.gateway.messages import (
     MESSAGE_FORMAT,
+    CapacityAnswer,
+    CapacityDecision,
     PlacementAdvice,
     QuotaReply,
-    RoomAnswer,
-    RoomDecision,
 )
-from waxwingbarrow.gateway.requests import Planner, Rollouts, RoomGate, WorkMeter
-from waxwingbarrow.gateway.requests import _room_gate as room_gate_module
+from waxwingbarrow.gateway.requests import CapacityGate, Planner, Rollouts, WorkMeter
+from waxwingbarrow.gateway.requests import _capacity_gate as capacity_gate_module
 from waxwingbarrow.gateway.requests._plans import Plan, Refused, RequestTrace
 from waxwingbarrow.gateway.requests._routes import RouteTable
 from waxwingbarrow.gateway.upstreams import CrashTracker, Fingerprints, Fleet
@@ -77,9 +77,9 @@
 ACCOUNT = Account(name=AccountId("one"), keys=("k",), rate_per_s=100.0, burst=100.0)
 # Prefill tokens of 20 ms and of 330 ms.
 SMALL, BACKLOG = 1_100, 18_150
-SERVE = RoomAnswer(RoomDecision.SERVE)
-WAIT = RoomAnswer(RoomDecision.WAIT, 30.0, 7, True)
-REFUSE = RoomAnswer(RoomDecision.REFUSE, 1_500.0, 0, True)
+SERVE = CapacityAnswer(CapacityDecision.SERVE)
+WAIT = CapacityAnswer(CapacityDecision.WAIT, 30.0, 7, True)
+REFUSE = CapacityAnswer(CapacityDecision.REFUSE, 1_500.0, 0, True)
 
 
 class Host:
@@ -104,8 +104,8 @@
         )
         self.work_meter = WorkMeter()
         self.metrics = Metrics()
-        gate = RoomGate(
-            ServiceRooms(SETTINGS, random.Random(1)),
+        gate = CapacityGate(
+            ServiceAdmissions(SETTINGS, random.Random(1)),
             self.quota_admission,
             self.work_meter,
             self.metrics,
@@ -140,8 +140,8 @@
 
     def advise(self, query, key, now):
         self.queries.append(query)
-        room = self.answers.pop(0) if self.answers else None
-        return PlacementAdvice("u1", 5.0, 0, 0, 2, True, room)
+        admission = self.answers.pop(0) if self.answers else None
+        return PlacementAdvice("u1", 5.0, 0, 0, 2, True, admission)
 
     def fill(self, tokens=BACKLOG):
         """Let another host report a backlog at both engines."""
@@ -202,9 +202,9 @@
     host = Host([WAIT, SERVE])
     plan = host.make_plan()
     assert await host.admit(plan) is None
-    assert [query.room.promise for query in host.queries] == [0, 7]
+    assert [query.admission.promise for query in host.queries] == [0, 7]
     assert plan.advice is not None
-    assert plan.has_room
+    assert plan.has_capacity
     assert host.left == 99
 
 
@@ -232,7 +232,7 @@
     plan = host.make_plan(body=b"x" * 100)
     task = asyncio.create_task(host.admit(plan))
     await asyncio.sleep(0.02)
-    gate = host.planner.room_gate
+    gate = host.planner.capacity_gate
     assert (gate._waiting, gate._waiting_bytes, host.left) == (1, 100, 99)
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
@@ -244,7 +244,7 @@
 async def test_a_full_host_refuses_and_names_the_time_of_the_promise(
     bound, monkeypatch
 ):
-    monkeypatch.setattr(room_gate_module, bound, 0)
+    monkeypatch.setattr(capacity_gate_module, bound, 0)
     host = Host([WAIT])
     refused = await host.admit(host.make_plan(body=b"x"))
     assert (refused.status, refused.retry_after_s) == (503, 0.03)
@@ -260,11 +260,11 @@
     await asyncio.sleep(0)
     host.keepers = []
     assert await task is None
-    assert not plan.has_room
+    assert not plan.has_capacity
     assert plan.charge is Charge.OWN_KEEPER
     upstream, _ = host.select(plan)
     assert upstream is not None
-    assert plan.trace.room_decided_by == "own share"
+    assert plan.trace.capacity_decided_by == "own share"
 
 
 async def test_held_requests_count_as_work_once():
@@ -285,7 +285,7 @@
     plan = host.make_plan(after_event=3)
     host.answers.clear()
     assert await host.admit(plan) is None
-    assert host.queries[0].room is None
+    assert host.queries[0].admission is None
     host.fill(10 * BACKLOG)
     host.keepers = []
     plan.advice = None
@@ -331,7 +331,7 @@
     assert held.status == 503
     assert held.wait_ms is not None
     assert not isinstance(host.select(urgent), Refused)
-    assert await host.planner.room_gate.wait(low, held)
+    assert await host.planner.capacity_gate.wait(low, held)
     host.fill(0)
     assert not isinstance(host.select(low), Refused)
 
@@ -350,7 +350,7 @@
     plan = host.make_plan()
     host.answers.clear()
     assert await host.admit(plan) is None
-    assert host.queries[0].room is None
+    assert host.queries[0].admission is None
     host.fill()
     assert not isinstance(host.select(plan), Refused)
-    assert not plan.trace.room_decided_by
+    assert not plan.trace.capacity_decided_by
--- a/libs/gateway/tests/test_room_keeper.py
+++ b/libs/gateway/tests/test_capacity_keeper.py
@@ -13,17 +13,17 @@
     UpstreamId,
     VersionName,
 )
-from waxwingbarrow.gateway.admission import PlacementAdviser, ServiceRooms
+from waxwingbarrow.gateway.admission import PlacementAdviser, ServiceAdmissions
 from waxwingbarrow.gateway.base import AdmissionSettings, Engine, UpstreamEntry
 from waxwingbarrow.gateway.messages import (
     MESSAGE_FORMAT,
+    CapacityAnswer,
+    CapacityDecision,
+    CapacityQuery,
     PlacementAdvice,
     PlacementQuery,
     QuotaReply,
     QuotaRequest,
-    RoomAnswer,
-    RoomDecision,
-    RoomQuery,
     decode_message,
     encode_message,
 )
@@ -44,7 +44,7 @@
 
 
 URGENT, LOW = Kind(0, 400.0), Kind(2, 2_000.0)
-WAIT = RoomAnswer(RoomDecision.WAIT, 30.0, 7, True)
+WAIT = CapacityAnswer(CapacityDecision.WAIT, 30.0, 7, True)
 
 
 class Host:
@@ -65,20 +65,20 @@
             self.fleet.put(entry, self.clock.now())
 
 
-def make_adviser(host, rooms):
+def make_adviser(host, admissions):
     return PlacementAdviser(
         host.fleet,
         PlacementPolicy(data_centre=DataCentre("a")),
         random.Random(1),
         lambda service: ENGINE,
         make_permits(host.fleet, host.clock).keeper,
-        rooms,
+        admissions,
     )
 
 
 def make_query(route, **fields):
-    room = RoomQuery(route.priority, "one", route.objective_ms, **fields)
-    return PlacementQuery(POOL, "a", SMALL, 10, [], 7_000.0, room=room)
+    admission = CapacityQuery(route.priority, "one", route.objective_ms, **fields)
+    return PlacementQuery(POOL, "a", SMALL, 10, [], 7_000.0, admission=admission)
 
 
 def ask(adviser, host, query, number):
@@ -88,47 +88,47 @@
 def test_a_request_that_waits_adds_nothing_to_the_backlog():
     """Low-priority work yields before it is placed."""
     host = Host()
-    adviser = make_adviser(host, ServiceRooms(SETTINGS, random.Random(1)))
+    adviser = make_adviser(host, ServiceAdmissions(SETTINGS, random.Random(1)))
     ask(adviser, host, make_query(URGENT), 0)
     decisions = [
-        ask(adviser, host, make_query(LOW), number).room.decision
+        ask(adviser, host, make_query(LOW), number).admission.decision
         for number in range(1, 200)
     ]
-    served = decisions.count(RoomDecision.SERVE)
-    assert decisions[:served] == [RoomDecision.SERVE] * served
+    served = decisions.count(CapacityDecision.SERVE)
+    assert decisions[:served] == [CapacityDecision.SERVE] * served
     # Two engines with at most half of the urgent objective and one request each.
     assert served <= 2 * (220 / 20 + 1)
     urgent = ask(adviser, host, make_query(URGENT), 200)
-    assert urgent.room.decision is RoomDecision.SERVE
+    assert urgent.admission.decision is CapacityDecision.SERVE
     assert urgent.start_ms < URGENT.objective_ms
 
 
 def test_a_keeper_without_the_setting_does_not_decide():
     host = Host()
     advice = ask(make_adviser(host, None), host, make_query(LOW), 1)
-    assert advice.room is None
+    assert advice.admission is None
     assert advice.is_permitted
 
 
 def test_a_host_without_the_setting_is_advised_as_before():
     host = Host()
-    adviser = make_adviser(host, ServiceRooms(SETTINGS, random.Random(1)))
+    adviser = make_adviser(host, ServiceAdmissions(SETTINGS, random.Random(1)))
     for number in range(100):
         query = PlacementQuery(POOL, "a", SMALL, 10, [], 7_000.0)
         advice = ask(adviser, host, query, number)
         assert advice.is_permitted
-        assert advice.room is None
+        assert advice.admission is None
 
 
 def test_a_host_that_is_no_longer_the_keeper_forgets_its_promises():
     host = Host()
-    rooms = ServiceRooms(SETTINGS, random.Random(1))
-    adviser = make_adviser(host, rooms)
+    admissions = ServiceAdmissions(SETTINGS, random.Random(1))
+    adviser = make_adviser(host, admissions)
     for number in range(400):
         ask(adviser, host, make_query(LOW), number)
-    assert rooms._rooms[POOL].promise_count > 0
+    assert admissions._admissions[POOL].promise_count > 0
     adviser.reset()
-    assert not rooms._rooms
+    assert not admissions._admissions
 
 
 @pytest.mark.parametrize(
--- a/libs/gateway/tests/test_urgency_load.py
+++ b/libs/gateway/tests/test_urgency_load.py
@@ -2,7 +2,7 @@
 
 Guards the whole decision of the keeper, with its estimates of the backlog and the
 reports of first events: urgent requests are late when low-priority ones fill the
-engines, and returning callers must find the room that they were promised.
+engines, and returning callers must find the capacity that they were promised.
 """
 
 import heapq
@@ -25,10 +25,14 @@
 )
 
 from waxwingbarrow.core import DataCentre, Instant
-from waxwingbarrow.gateway.admission import PlacementAdviser, ServiceRooms
+from waxwingbarrow.gateway.admission import PlacementAdviser, ServiceAdmissions
 from waxwingbarrow.gateway.admission._permit_keeper import PermitKeeper
 from waxwingbarrow.gateway.base import AdmissionSettings
-from waxwingbarrow.gateway.messages import PlacementQuery, RoomDecision, RoomQuery
+from waxwingbarrow.gateway.messages import (
+    CapacityDecision,
+    CapacityQuery,
+    PlacementQuery,
+)
 from waxwingbarrow.routing import PlacementPolicy, PromptPart
 
 SECONDS = 5
@@ -75,7 +79,7 @@
             yield Request(kind, int(at_ms), next(numbers), parts, int(at_ms))
 
 
-def play(rooms, shares, seed):
+def play(admissions, shares, seed):
     """Send all requests through a keeper; return them with their results."""
     rng, fleet = random.Random(seed), make_fleet()
     adviser = PlacementAdviser(
@@ -84,7 +88,7 @@
         rng,
         lambda service: ENGINE,
         PermitKeeper(fleet.notices, lambda now: 1.0),
-        rooms,
+        admissions,
     )
     engines, reports, order = Engines(), Reports(adviser), itertools.count(1)
     requests = list(make_requests(rng, shares))
@@ -102,25 +106,27 @@
             output_tokens=100,
             parts=[(part.part, part.tokens) for part in request.parts],
             latest_start_ms=0.7 * remaining_ms,
-            room=RoomQuery(
+            admission=CapacityQuery(
                 kind.priority, "one", kind.objective_ms, request.promise, request.number
             ),
         )
         advice = adviser.advise(query, (HOST, number), now)
-        room, request.promise = advice.room, 0
+        admission, request.promise = advice.admission, 0
         if advice.is_permitted:
             request.arrival_ms = at_ms
             wait_ms = engines.run(advice.upstream, request)
             request.late_ms = at_ms + wait_ms + FIXED_MS - request.asked_ms
             reports.add(at_ms + wait_ms, advice.upstream, number)
             continue
-        if room is not None and room.decision is RoomDecision.WAIT:
-            request.promise = room.promise
-            heapq.heappush(events, (at_ms + int(room.after_ms), next(order), request))
+        if admission is not None and admission.decision is CapacityDecision.WAIT:
+            request.promise = admission.promise
+            heapq.heappush(
+                events, (at_ms + int(admission.after_ms), next(order), request)
+            )
             continue
         if request.returns < MAX_RETURNS:
             request.returns += 1
-            retry_ms = OLD_RETRY_MS if room is None else round(room.after_ms)
+            retry_ms = OLD_RETRY_MS if admission is None else round(admission.after_ms)
             request.asked_ms = at_ms + retry_ms
             heapq.heappush(events, (request.asked_ms, next(order), request))
     return requests
@@ -137,8 +143,8 @@
     return len(in_time) / len(selected)
 
 
-def make_rooms(seed):
-    return ServiceRooms(AdmissionSettings(by_urgency=True), random.Random(seed))
+def make_admissions(seed):
+    return ServiceAdmissions(AdmissionSettings(by_urgency=True), random.Random(seed))
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -146,7 +152,7 @@
     """Half as much again as the engines can do, two thirds of it of low priority."""
     shares = {URGENT: 0.5, LOW: 1.0}
     before = play(None, shares, seed)
-    after = play(make_rooms(seed), shares, seed)
+    after = play(make_admissions(seed), shares, seed)
     assert measure_success(before, URGENT) < 0.5
     assert measure_success(after, URGENT) > 0.98
     assert measure_success(after, LOW) > 0.9
@@ -154,5 +160,5 @@
 
 def test_requests_are_placed_as_before_while_there_is_enough_capacity():
     shares = {URGENT: 0.2, LOW: 0.2}
-    before, after = play(None, shares, 1), play(make_rooms(1), shares, 1)
+    before, after = play(None, shares, 1), play(make_admissions(1), shares, 1)
     assert [item.late_ms for item in after] == [item.late_ms for item in before]
--- a/libs/limits/src/waxwingbarrow/limits/__init__.py
+++ b/libs/limits/src/waxwingbarrow/limits/__init__.py
@@ -10,20 +10,20 @@
     RefusedAdmission,
 )
 from waxwingbarrow.limits._buckets import TokenBucket
-from waxwingbarrow.limits._demand import AccountDemand, DemandMeter
-from waxwingbarrow.limits._estimates import Estimate, check_deadline
-from waxwingbarrow.limits._proportions import compute_proportional_share
-from waxwingbarrow.limits._queue import FairQueue, QueueItem
-from waxwingbarrow.limits._room import (
+from waxwingbarrow.limits._capacity_admission import (
+    CapacityAdmission,
+    CapacityAdmissionPolicy,
+    CapacityRequest,
+    CapacityVerdict,
     FreeCapacity,
     RefuseUntil,
-    RoomAdmission,
-    RoomPolicy,
-    RoomRequest,
-    RoomVerdict,
     ServeNow,
     WaitFor,
 )
+from waxwingbarrow.limits._demand import AccountDemand, DemandMeter
+from waxwingbarrow.limits._estimates import Estimate, check_deadline
+from waxwingbarrow.limits._proportions import compute_proportional_share
+from waxwingbarrow.limits._queue import FairQueue, QueueItem
 from waxwingbarrow.limits._shares import PeerDemand, SharePolicy, compute_share
 
 __all__ = [
@@ -33,6 +33,10 @@
     "AdmissionController",
     "AdmissionPolicy",
     "AdmissionRequest",
+    "CapacityAdmission",
+    "CapacityAdmissionPolicy",
+    "CapacityRequest",
+    "CapacityVerdict",
     "DemandMeter",
     "DequeueResult",
     "Estimate",
@@ -42,10 +46,6 @@
     "QueueItem",
     "RefuseUntil",
     "RefusedAdmission",
-    "RoomAdmission",
-    "RoomPolicy",
-    "RoomRequest",
-    "RoomVerdict",
     "ServeNow",
     "SharePolicy",
     "TokenBucket",
--- a/libs/limits/src/waxwingbarrow/limits/_room.py
+++ b/libs/limits/src/waxwingbarrow/limits/_capacity_admission.py
@@ -3,7 +3,7 @@
 A host that knows the backlog of the engines asks for each request how long it would
 wait there. Requests of less urgent classes, and of accounts that get more than their
 share, stop at a shorter backlog than others, so they yield before they are placed. What
-stops there waits at its host or is refused, and room is reserved for its return.
+stops there waits at its host or is refused, and capacity is reserved for its return.
 """
 
 import random
@@ -31,8 +31,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class RoomPolicy:
-    """Constants of `RoomAdmission`.
+class CapacityAdmissionPolicy:
+    """Constants of `CapacityAdmission`.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
     max_wait_ms : float
         Longest wait at a host.
     horizon_ms : int
-        Longest time ahead for which room is promised.
+        Longest time ahead for which capacity is promised.
     early_ms, late_ms : int
         How much earlier and later than promised a caller may come back.
     max_promises : int
@@ -64,8 +64,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class RoomRequest:
-    """A request that asks for room at an engine.
+class CapacityRequest:
+    """A request that asks for capacity at an engine.
 
     Parameters
     ----------
@@ -130,33 +130,33 @@
     Parameters
     ----------
     is_promised : bool
-        Whether room is reserved for its return.
+        Whether capacity is reserved for its return.
     """
 
     retry_after_s: float
     is_promised: bool = False
 
 
-RoomVerdict = ServeNow | WaitFor | RefuseUntil
+CapacityVerdict = ServeNow | WaitFor | RefuseUntil
 
 
-class RoomAdmission:
+class CapacityAdmission:
     """Decides which requests for one service's engines are served, wait or are refused.
 
     Parameters
     ----------
     rng : random.Random
-        Spreads the retry times for which no room is reserved.
+        Spreads the retry times for which no capacity is reserved.
 
     Examples
     --------
-    >>> room = RoomAdmission(RoomPolicy(), random.Random(1))
-    >>> request = RoomRequest(
+    >>> capacity = CapacityAdmission(CapacityAdmissionPolicy(), random.Random(1))
+    >>> request = CapacityRequest(
     ...     priority=0, account=AccountId("a"), objective_ms=400, latest_start_ms=700
     ... )
     >>> def decide(start_ms):
     ...     free = FreeCapacity(start_ms=start_ms, own_ms=20, engines=4)
-    ...     return room.decide(request, free, Instant(0, 0))
+    ...     return capacity.decide(request, free, Instant(0, 0))
     >>> decide(30.0)
     ServeNow(is_promised=False)
     >>> decide(420.0)
@@ -165,7 +165,7 @@
     RefuseUntil(retry_after_s=6.7214285714285715, is_promised=True)
     """
 
-    def __init__(self, policy: RoomPolicy, rng: random.Random) -> None:
+    def __init__(self, policy: CapacityAdmissionPolicy, rng: random.Random) -> None:
         self._policy = policy
         self._rng = rng
         self._classes: dict[int, PriorityClass] = {}
@@ -179,8 +179,8 @@
         return len(self._promises)
 
     def decide(
-        self, request: RoomRequest, capacity: FreeCapacity, now: Instant
-    ) -> RoomVerdict:
+        self, request: CapacityRequest, capacity: FreeCapacity, now: Instant
+    ) -> CapacityVerdict:
         """Decide on a request, and count it as served if it is."""
         work_ms = max(capacity.own_ms, MIN_WORK_MS)
         promise = self._take_promise(request, now)
@@ -240,7 +240,7 @@
         priority_class.served.add(work_ms, now)
         return ServeNow(promise is not None)
 
-    def _take_promise(self, request: RoomRequest, now: Instant) -> Promise | None:
+    def _take_promise(self, request: CapacityRequest, now: Instant) -> Promise | None:
         if request.promise:
             promise = self._promises.take(request.promise, now)
             # A number that another host gave may belong to another request here.
@@ -250,7 +250,7 @@
             request.priority, request.account, request.request_hash, now
         )
 
-    def _find_shortest_objective(self, request: RoomRequest, now: Instant) -> float:
+    def _find_shortest_objective(self, request: CapacityRequest, now: Instant) -> float:
         """Return the shortest objective of the requests that must not be held up.
 
         These are the recent ones that are at least as urgent.
@@ -264,7 +264,7 @@
         return min(item for item in objectives_ms if item is not None)
 
     def _find_limit_ms(
-        self, request: RoomRequest, is_over_share: bool, now: Instant
+        self, request: CapacityRequest, is_over_share: bool, now: Instant
     ) -> float:
         """Return the longest wait at the engines at which a request is still served.
 
@@ -295,7 +295,7 @@
 
     def _find_delay_ms(
         self,
-        request: RoomRequest,
+        request: CapacityRequest,
         capacity: FreeCapacity,
         excess_ms: float,
         now: Instant,
@@ -317,7 +317,7 @@
 
     def _hold(
         self,
-        request: RoomRequest,
+        request: CapacityRequest,
         account: AccountDemand,
         delay_ms: float,
         start_after_ms: float,
--- a/libs/limits/src/waxwingbarrow/limits/_promises.py
+++ b/libs/limits/src/waxwingbarrow/limits/_promises.py
@@ -1,4 +1,4 @@
-"""Times at which requests that found no room were told to come back.
+"""Times at which requests that found no capacity were told to come back.
 
 Each promise reserves engine work at its time, so that later ones get later times and
 callers do not return all at once.
@@ -13,14 +13,14 @@
 # Reserved work is summed over slots of this length, so that finding a time does not
 # depend on the number of promises.
 SLOT_MS = 50
-# Another request of the account gets the room of a caller that is this late. If it got
-# the room earlier, callers that return in time would often return in vain.
+# Another request of the account gets the capacity of a caller that is this late. If it
+# got it earlier, callers that return in time would often return in vain.
 INHERIT_AFTER_MS = 250
 
 
 @attrs.frozen(kw_only=True)
 class Promise:
-    """Room that a request gets when it comes back.
+    """Capacity that a request gets when it comes back.
 
     Parameters
     ----------
@@ -29,7 +29,7 @@
     request_hash : int
         By which the request is recognised when it returns; 0 if it is not known.
     due_ms : int
-        Monotonic time from which there is room.
+        Monotonic time from which there is capacity.
     work_ms : float
         Engine time that is reserved.
     """
--- a/libs/limits/tests/test_room.py
+++ b/libs/limits/tests/test_capacity_admission.py
@@ -6,11 +6,11 @@
 
 from waxwingbarrow.core import AccountId, Instant
 from waxwingbarrow.limits import (
+    CapacityAdmission,
+    CapacityAdmissionPolicy,
+    CapacityRequest,
     FreeCapacity,
     RefuseUntil,
-    RoomAdmission,
-    RoomPolicy,
-    RoomRequest,
     ServeNow,
     WaitFor,
 )
@@ -20,8 +20,8 @@
 ENGINES = 8.0
 
 
-def make_room(**policy):
-    return RoomAdmission(RoomPolicy(**policy), random.Random(1))
+def make_admission(**policy):
+    return CapacityAdmission(CapacityAdmissionPolicy(**policy), random.Random(1))
 
 
 def make_request(priority=0, account="a", **fields):
@@ -31,12 +31,12 @@
         "latest_start_ms": 0.7 * kind["deadline_ms"],
         **fields,
     }
-    return RoomRequest(priority=priority, account=AccountId(account), **values)
+    return CapacityRequest(priority=priority, account=AccountId(account), **values)
 
 
-def decide(room, request, wait_ms, own_ms=20.0, now_ms=0):
+def decide(admission, request, wait_ms, own_ms=20.0, now_ms=0):
     capacity = FreeCapacity(start_ms=wait_ms + own_ms, own_ms=own_ms, engines=ENGINES)
-    return room.decide(request, capacity, Instant(now_ms, now_ms))
+    return admission.decide(request, capacity, Instant(now_ms, now_ms))
 
 
 @pytest.mark.parametrize(
@@ -62,7 +62,7 @@
 def test_a_class_alone_is_served_until_it_would_miss_its_objective(
     priority, wait_ms, own_ms, expected
 ):
-    verdict = decide(make_room(), make_request(priority), wait_ms, own_ms)
+    verdict = decide(make_admission(), make_request(priority), wait_ms, own_ms)
     assert isinstance(verdict, expected)
 
 
@@ -72,60 +72,61 @@
 )
 def test_less_urgent_requests_stop_at_a_shorter_backlog(wait_ms, urgent, low):
     """They keep to the objective of the urgent ones, though their own is longer."""
-    room = make_room()
-    decide(room, make_request(0), 0)
-    decide(room, make_request(2), 0)
-    assert isinstance(decide(room, make_request(2), wait_ms), low)
-    assert isinstance(decide(room, make_request(0), wait_ms), urgent)
+    admission = make_admission()
+    decide(admission, make_request(0), 0)
+    decide(admission, make_request(2), 0)
+    assert isinstance(decide(admission, make_request(2), wait_ms), low)
+    assert isinstance(decide(admission, make_request(0), wait_ms), urgent)
 
 
 def test_urgent_requests_that_ended_long_ago_hold_nobody_up():
-    room = make_room()
-    decide(room, make_request(0), 0)
-    verdict = decide(room, make_request(2), 900, now_ms=6_000)
+    admission = make_admission()
+    decide(admission, make_request(0), 0)
+    verdict = decide(admission, make_request(2), 900, now_ms=6_000)
     assert isinstance(verdict, ServeNow)
 
 
 def test_urgent_requests_are_told_to_return_sooner():
-    room = make_room()
+    admission = make_admission()
     for number in range(200):
-        decide(room, make_request(0, request_hash=number), 0, now_ms=number * 5)
-    urgent = decide(room, make_request(0), 1_500, now_ms=1_000)
-    low = decide(room, make_request(2, latest_start_ms=300.0), 1_500, now_ms=1_000)
+        decide(admission, make_request(0, request_hash=number), 0, now_ms=number * 5)
+    urgent = decide(admission, make_request(0), 1_500, now_ms=1_000)
+    low = decide(admission, make_request(2, latest_start_ms=300.0), 1_500, now_ms=1_000)
     assert urgent.is_promised
     assert low.is_promised
     assert urgent.retry_after_s < low.retry_after_s
 
 
-def test_a_wait_ends_with_the_promised_room():
-    room = make_room()
-    waits = decide(room, make_request(), 350)
+def test_a_wait_ends_with_the_promised_capacity():
+    admission = make_admission()
+    waits = decide(admission, make_request(), 350)
     assert isinstance(waits, WaitFor)
     request = make_request(promise=waits.promise, latest_start_ms=500.0)
-    again = decide(room, request, 300, now_ms=int(waits.wait_ms))
+    again = decide(admission, request, 300, now_ms=int(waits.wait_ms))
     assert again == ServeNow(is_promised=True)
-    assert room.promise_count == 0
+    assert admission.promise_count == 0
 
 
 def test_a_promise_of_another_host_is_no_promise_here():
     # The keeper that made it was lost; the new one decides on the request as a new one.
-    room = make_room()
-    verdict = decide(room, make_request(promise=17), 350)
+    admission = make_admission()
+    verdict = decide(admission, make_request(promise=17), 350)
     assert isinstance(verdict, WaitFor)
 
 
 def test_a_promise_to_another_account_is_not_kept():
-    room = make_room()
-    waits = decide(room, make_request(account="a"), 350)
+    admission = make_admission()
+    waits = decide(admission, make_request(account="a"), 350)
     request = make_request(account="b", promise=waits.promise)
-    assert not isinstance(decide(room, request, 350, now_ms=200), ServeNow)
+    assert not isinstance(decide(admission, request, 350, now_ms=200), ServeNow)
 
 
 def test_callers_without_a_promise_return_at_different_times():
     # Requests that cannot be served are many when most engines are lost.
-    room = make_room()
+    admission = make_admission()
     retries_s = {
-        decide(room, make_request(), 0, own_ms=800).retry_after_s for _ in range(50)
+        decide(admission, make_request(), 0, own_ms=800).retry_after_s
+        for _ in range(50)
     }
     assert len(retries_s) == 50
     assert min(retries_s) >= 10
@@ -133,7 +134,7 @@
 
 
 def test_memory_is_bounded_under_a_flood():
-    room = make_room(max_promises=100)
+    admission = make_admission(max_promises=100)
     for number in range(1, 2_000):
-        decide(room, make_request(request_hash=number), 1_500)
-        assert room.promise_count <= 100
+        decide(admission, make_request(request_hash=number), 1_500)
+        assert admission.promise_count <= 100
--- a/libs/limits/tests/test_room_load.py
+++ b/libs/limits/tests/test_capacity_load.py
@@ -14,11 +14,11 @@
 
 from waxwingbarrow.core import AccountId, Instant
 from waxwingbarrow.limits import (
+    CapacityAdmission,
+    CapacityAdmissionPolicy,
+    CapacityRequest,
     FreeCapacity,
     RefuseUntil,
-    RoomAdmission,
-    RoomPolicy,
-    RoomRequest,
     ServeNow,
     WaitFor,
 )
@@ -85,8 +85,8 @@
         return RefuseUntil(0.3)
 
 
-def make_room(seed=1, **policy):
-    return RoomAdmission(RoomPolicy(**policy), random.Random(seed))
+def make_admission(seed=1, **policy):
+    return CapacityAdmission(CapacityAdmissionPolicy(**policy), random.Random(seed))
 
 
 class LostKeeper:
@@ -94,10 +94,10 @@
 
     def __init__(self, at_ms):
         self.at_ms = at_ms
-        self.rooms = [make_room(1), make_room(2)]
+        self.admissions = [make_admission(1), make_admission(2)]
 
     def decide(self, request, capacity, now):
-        return self.rooms[now.mono_ms >= self.at_ms].decide(request, capacity, now)
+        return self.admissions[now.mono_ms >= self.at_ms].decide(request, capacity, now)
 
 
 class HostsAlone:
@@ -110,14 +110,14 @@
     """
 
     def __init__(self, count, count_entered):
-        self.rooms = [make_room(seed) for seed in range(count)]
+        self.admissions = [make_admission(seed) for seed in range(count)]
         self.count_entered = count_entered
 
     def decide(self, request, capacity, now):
         host = request.request_hash % self.count_entered(request.account)
-        engines = capacity.engines / len(self.rooms)
+        engines = capacity.engines / len(self.admissions)
         share = attrs.evolve(capacity, engines=engines)
-        return self.rooms[host].decide(request, share, now)
+        return self.admissions[host].decide(request, share, now)
 
 
 def draw(streams, rng):
@@ -133,7 +133,7 @@
             yield Sent(stream, int(at_ms), work_ms, is_large, int(at_ms))
 
 
-def run(room, streams, engines=8, seed=1, changes=()):
+def run(admission, streams, engines=8, seed=1, changes=()):
     """Run requests through the admission; return them with their results.
 
     Parameters
@@ -158,8 +158,8 @@
         remaining_ms = stream.deadline_ms - (at_ms - sent.asked_ms)
         best = min(range(len(free_at_ms)), key=free_at_ms.__getitem__)
         wait_ms = max(free_at_ms[best] - at_ms, 0.0)
-        verdict = room.decide(
-            RoomRequest(
+        verdict = admission.decide(
+            CapacityRequest(
                 priority=stream.priority,
                 account=AccountId(stream.account),
                 objective_ms=stream.objective_ms,
@@ -218,7 +218,7 @@
         Stream(account="l", per_s=600, from_s=5, until_s=8, max_returns=3, **LOW),
     ]
     before = run(FixedRetries(), streams, seed=seed)
-    after = run(make_room(), streams, seed=seed)
+    after = run(make_admission(), streams, seed=seed)
     assert measure_success(before, is_urgent) < 0.9
     assert measure_success(after, is_urgent) > 0.99
     assert measure_success(after, is_low) > 0.85
@@ -237,7 +237,7 @@
         return sent.stream is not flood
 
     before = run(FixedRetries(), [*usual, flood], seed=seed)
-    after = run(make_room(), [*usual, flood], seed=seed)
+    after = run(make_admission(), [*usual, flood], seed=seed)
     assert measure_success(before, is_usual) < 0.5
     assert measure_success(after, is_usual) > 0.98
     refused = [sent for sent in after if sent.first_refusal is not None]
@@ -252,7 +252,7 @@
     ]
     changes = [(8_000, 4)]
     before = run(FixedRetries(), streams, seed=seed, changes=changes)
-    after = run(make_room(), streams, seed=seed, changes=changes)
+    after = run(make_admission(), streams, seed=seed, changes=changes)
     assert measure_success(before, is_urgent) < 0.8
     assert measure_success(after, is_urgent) > 0.98
 
@@ -267,7 +267,7 @@
         Stream(account=f"a{number}", per_s=60, large_factor=6, max_returns=2, **URGENT)
         for number in range(5)
     ]
-    after = run(make_room(), streams, seed=seed)
+    after = run(make_admission(), streams, seed=seed)
     large = measure_success(after, lambda sent: sent.is_large)
     assert large >= 0.5 * measure_success(after)
 
@@ -279,7 +279,7 @@
         Stream(account=f"a{number}", per_s=100, max_returns=6, **URGENT)
         for number in range(5)
     ]
-    after = run(make_room(), streams, seed=seed)
+    after = run(make_admission(), streams, seed=seed)
     promised = sum(sent.promised_returns for sent in after)
     vain = sum(sent.vain_returns for sent in after)
     assert promised > 1_000
@@ -292,7 +292,7 @@
     burst = Stream(
         account="u", per_s=8_000, from_s=1, until_s=1.1, max_returns=1, **URGENT
     )
-    after = run(make_room(), [burst], seed=seed)
+    after = run(make_admission(), [burst], seed=seed)
     refused = [sent for sent in after if sent.returns]
     assert len(refused) > 100
     most = max(
@@ -309,7 +309,7 @@
         Stream(account="u", per_s=150, **URGENT),
         Stream(account="l", per_s=150, **LOW),
     ]
-    after = run(make_room(), streams, seed=seed)
+    after = run(make_admission(), streams, seed=seed)
     assert measure_success(after) == 1.0
     assert not any(sent.waits_ms or sent.first_refusal for sent in after)
 
--- a/libs/limits/tests/test_promises.py
+++ b/libs/limits/tests/test_promises.py
@@ -37,7 +37,7 @@
     priority, account, late_ms, is_kept
 ):
     # When new requests took the promises at once, 3,590 of 8,377 callers in the queue
-    # model that were promised room returned in vain.
+    # model that were promised capacity returned in vain.
     schedule = make_schedule()
     schedule.add(0, ONE, 7, 500.0, 20.0, at(0))
     taken = schedule.take_due(priority, account, 8, at(500 + late_ms))
