Log which requests a planned stop cuts, and when they came

A request that the stop cut was logged as left by its caller, and no line had the time since the signal or the number of events that went to the caller, so the three hypotheses on the lost streams could not be told apart.

`request ended` has `events_sent`, `after_stop_ms` and the outcome `cut by the planned stop`; `requests end` counts the responses that had begun and the bytes that callers have not read. `gateway stopped` counted busy connections after the requests were ended; that count is gone. No decision is changed.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -673,6 +673,7 @@
         )
         self._callers.is_closing = True
         stop_ms = self._clock.now_ms()
+        self._planner.stop_check.stopped_at = self._clock.now()
         end_ms = stop_ms + int((self._settings.bounds.grace_s - STOP_MARGIN_S) * 1000)
         ends_at = self._clock.now().plus_ms(end_ms - stop_ms - ANSWER_MARGIN_MS)
         self._planner.stop_check.ends_at = ends_at
@@ -684,16 +685,23 @@
                 self._callers.close_idle()
                 if self._callers.count_busy() == 0:
                     break
+        logger.info(
+            "requests end",
+            extra={
+                "cut_responses": self._callers.count_begun(),
+                "left_requests": self._callers.count_busy(),
+                "unread_bytes": self._callers.count_unread_bytes(),
+            },
+        )
         self._callers.end_requests()
         # Lets the event loop write the last responses.
         await asyncio.sleep(0)
 
     async def _close(self) -> None:
-        busy = self._callers.count_busy()
         self._peer_protocol.send_last_counts(self._clock.now())
         self._supervisor.cancel_all()
         for server, _ in self._internal_servers:
             server.stop_listening()
         self._peer_protocol.close()
-        logger.info("gateway stopped", extra={"cut_requests": busy})
+        logger.info("gateway stopped")
         self._flush_logs(self._clock.now())
--- a/libs/gateway/src/waxwingbarrow/gateway/callers/_caller_connections.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/callers/_caller_connections.py
@@ -172,6 +172,12 @@
         """Whether no request is being read or handled."""
         return self._task is None and not self._reader.is_in_message
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a response has begun and is not complete."""
+        responder = self._responder
+        return responder is not None and responder.started and not responder.ended
+
     @property
     def is_excessive(self) -> bool:
         """Whether bytes wait behind a request or a response that is not read."""
@@ -364,6 +370,7 @@
         """Answer the handled request as timed out; break off a response that began."""
         if self._task is None or self._responder is None:
             return
+        self._responder.is_stopped = True
         if not (self._responder.started or self._responder.ended):
             self._responder.send(504, b"", [], b"the host is shutting down\n")
         self._task.cancel()
--- a/libs/gateway/src/waxwingbarrow/gateway/callers/_callers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/callers/_callers.py
@@ -222,6 +222,14 @@
         """Return the number of connections with a request."""
         return sum(not connection.is_idle for connection in self.connections)
 
+    def count_begun(self) -> int:
+        """Return the number of responses that have begun and are not complete."""
+        return sum(connection.has_begun for connection in self.connections)
+
+    def count_unread_bytes(self) -> int:
+        """Return how much of the responses waits until the callers read."""
+        return sum(connection.unread_bytes for connection in self.connections)
+
     def stop_listening(self) -> None:
         """Accept no further connections."""
         if self._server is not None:
--- a/libs/gateway/src/waxwingbarrow/gateway/callers/_responders.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/callers/_responders.py
@@ -48,6 +48,8 @@
         Whether any byte of the response was written.
     ended : bool
         Whether the response is complete or was aborted.
+    is_stopped : bool
+        Whether the process ends before the upstream's response is complete.
     """
 
     def __init__(self, connection: ResponseWriter, keep_alive: bool) -> None:
@@ -55,6 +57,7 @@
         self._keep_alive = keep_alive
         self.started = False
         self.ended = False
+        self.is_stopped = False
 
     def send(self, status: int, reason: bytes, headers: Headers, body: bytes) -> None:
         """Write a complete response.
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -109,7 +109,7 @@
                 self._quota_admission.refund(
                     planned.account, planned.cost, planned.charge, self._clock.now()
                 )
-            self._writer.log_request(planned, outcome)
+            self._writer.log_request(planned, outcome, responder)
 
     async def _serve_buffered(self, plan: Plan, responder: Responder) -> str:
         error_response: ResponseReceived | None = None
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_durations.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_durations.py
@@ -81,12 +81,13 @@
     ----------
     durations : DurationMeter
         How long the requests of each route take.
-    ends_at : Instant or None
-        When the process ends; None before the stop signal.
+    stopped_at, ends_at : Instant or None
+        Time of the stop signal, and when the process ends; None before the signal.
     """
 
     def __init__(self) -> None:
         self.durations = DurationMeter()
+        self.stopped_at: Instant | None = None
         self.ends_at: Instant | None = None
 
     def check(self, plan: Plan, now: Instant) -> Refused | None:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_endings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_endings.py
@@ -111,10 +111,13 @@
                 },
             )
 
-    def log_request(self, plan: Plan, outcome: str) -> None:
+    def log_request(self, plan: Plan, outcome: str, responder: Responder) -> None:
         """Log a request that ended, and record its duration."""
         now = self._clock.now()
         trace = plan.trace
+        if responder.is_stopped:
+            outcome = "cut by the planned stop"
+        stopped_at = self._planner.stop_check.stopped_at
         elapsed_ms = now.mono_ms - plan.call.received_ms
         self._metrics.observe_request(trace.route, trace.account, outcome, elapsed_ms)
         if outcome == "answered 200":
@@ -141,5 +144,9 @@
                 "first_event_ms": trace.first_event_ms,
                 "capacity_decided_by": trace.capacity_decided_by,
                 "capacity_wait_ms": trace.capacity_wait_ms,
+                "events_sent": trace.events_sent,
+                "after_stop_ms": (
+                    plan.call.received_ms - stopped_at.mono_ms if stopped_at else None
+                ),
             },
         )
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -41,6 +41,8 @@
         without one; empty if that is not decided.
     capacity_wait_ms : int
         Time for which the request waited for capacity.
+    events_sent : int
+        Events of a stream that were passed on to the caller.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     first_event_ms: int | None = None
     capacity_decided_by: str = ""
     capacity_wait_ms: int = 0
+    events_sent: int = 0
 
 
 @attrs.define(eq=False)
