Continue streams that have begun elsewhere during a planned stop

Callers saw a stream that had its status and some events closed in the middle of a planned stop, although another upstream could go on with it.

Cause: the check for requests that might not end before the process does was made before each attempt, also when the response had begun. A refusal can no longer be sent then, so the stream was broken off at once, by an estimate.

The next attempt can only gain: without it the stream is cut in any case.

Ruled out: that no upstream was left; the choice was not reached.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_endings.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_endings.py
@@ -144,7 +144,7 @@
                 "first_event_ms": trace.first_event_ms,
                 "capacity_decided_by": trace.capacity_decided_by,
                 "capacity_wait_ms": trace.capacity_wait_ms,
-                "events_sent": trace.events_sent,
+                "events_sent": plan.events_sent,
                 "after_stop_ms": (
                     plan.call.received_ms - stopped_at.mono_ms if stopped_at else None
                 ),
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -232,7 +232,8 @@
         Upstreams that the request was already sent to are not chosen again.
         """
         refused = self._check_suspicion(plan.fingerprints, now)
-        refused = refused or self.stop_check.check(plan, now)
+        if not plan.is_response_begun:
+            refused = refused or self.stop_check.check(plan, now)
         if refused is not None:
             return refused
         metadata = plan.metadata
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_plans.py
@@ -41,8 +41,6 @@
         without one; empty if that is not decided.
     capacity_wait_ms : int
         Time for which the request waited for capacity.
-    events_sent : int
-        Events of a stream that were passed on to the caller.
     """
 
     request_id: str
@@ -59,7 +57,6 @@
     first_event_ms: int | None = None
     capacity_decided_by: str = ""
     capacity_wait_ms: int = 0
-    events_sent: int = 0
 
 
 @attrs.define(eq=False)
@@ -106,6 +103,8 @@
     open_attempts : int
         Attempts that still run and are not counted as delivered, while another one is
         started beside them.
+    events_sent : int
+        Events of a stream that were passed on to the caller.
     """
 
     call: Call
@@ -130,6 +129,12 @@
     has_capacity: bool = False
     promise: int = 0
     open_attempts: int = 0
+    events_sent: int = 0
+
+    @property
+    def is_response_begun(self) -> bool:
+        """Whether the caller has a part of the response."""
+        return self.events_sent > 0
 
     @property
     def output_size(self) -> int:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
@@ -172,7 +172,7 @@
             self._start_stream(response.head, responder)
         event_count = events.count(EVENT_END)
         job.events += event_count
-        plan.trace.events_sent += event_count
+        plan.events_sent += event_count
         if job.meter is not None:
             note_events(job.meter, upstream, event_count, self._clock.now())
         responder.send_chunk(events)
