Continue streams that have begun even if they are expected to go on late

Cause: a choice of an upstream is refused if the estimated start is later than 0.7 of the remaining time. That is right for a request whose caller can be sent elsewhere; a stream that had begun and lost its upstream was cut by it.

Ruled out as further places: the admission by urgency decides only before the first attempt, and a hedge that is refused leaves the first attempt running.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -49,7 +49,8 @@
 RETRY_AFTER_BUSY_S = 0.3
 RETRY_AFTER_NOT_READY_S = 0.5
 # A model request needs time after its first token, so it is refused at once if it would
-# start later than this fraction of its remaining time.
+# start later than this fraction of its remaining time. A stream that has begun is not:
+# a refusal would cut it.
 LATEST_START_FRACTION = 0.7
 
 
@@ -282,9 +283,9 @@
             )
             if held is not None:
                 return held
-        if placement.start_ms > remaining_ms * LATEST_START_FRACTION:
-            wait_s = (placement.start_ms - remaining_ms * LATEST_START_FRACTION) / 1000
-            return Refused(503, "cannot start in time", max(wait_s, 0.1))
+        late_ms = placement.start_ms - remaining_ms * LATEST_START_FRACTION
+        if late_ms > 0 and not plan.is_response_begun:
+            return Refused(503, "cannot start in time", max(late_ms / 1000, 0.1))
         upstream = self._fleet.upstreams[placement.view.upstream]
         trace = plan.trace
         trace.start_ms = round(placement.start_ms, 1)
