Wait in a planned stop until callers have read their responses

Callers who read slowly saw a complete response end in the middle.

Cause: the process ended as soon as no request was handled. What the kernel had not taken of finished responses was still in the process's own buffers.

A caller that does not read at all holds the process until the end of the grace time, as a request that hangs does.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -683,7 +683,10 @@
             if self._clock.now_ms() - stop_ms > LISTEN_AFTER_STOP_S * 1000:
                 self._callers.stop_listening()
                 self._callers.close_idle()
-                if self._callers.count_busy() == 0:
+                # What callers have not read yet is lost when the process ends.
+                if not (
+                    self._callers.count_busy() or self._callers.count_unread_bytes()
+                ):
                     break
         logger.info(
             "requests end",
