Order positions in the store's topics by its eras

Callers got 404 for routes that were added after the store had come back from an older copy, and went where routes had led before.

Cause: replicas, listings of peers and messages were ordered by offset alone. After the return offsets are lower and are given out again, so a listing was ignored as older, and later records at known offsets were skipped.

A position is an era with an offset now, wherever two hosts or two answers are compared. What a restored store has may be older than what is known: versions and sequence numbers decide where there are any, other records are held until they are written again. Hosts register again, and record the prompt parts again that they blocked.

--- a/libs/gateway/src/waxwingbarrow/gateway/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/__init__.py
@@ -61,10 +61,12 @@
     decode_with,
     describe_error,
     is_header_value,
+    number_in_era,
     parse_address,
     parse_decimal,
     read_settings,
     split_address,
+    split_number,
 )
 from waxwingbarrow.gateway.callers import CallerServer, Responder
 from waxwingbarrow.gateway.upstreams import (
@@ -137,8 +139,10 @@
     "decode_with",
     "describe_error",
     "is_header_value",
+    "number_in_era",
     "parse_address",
     "parse_decimal",
     "read_settings",
     "split_address",
+    "split_number",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -500,6 +500,7 @@
             "timeouts": self._callers.enforce_timeouts,
             "internal timeouts": self._enforce_internal_timeouts,
             "settings": self._watch_settings_file,
+            "restores": self._follow_restores,
         }
         for name, start in tasks.items():
             self._supervisor.spawn(name, start)
@@ -519,6 +520,15 @@
         while not await self._follower.read(Topic.STATUS, 0):
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def _follow_restores(self) -> None:
+        """Write again what a store that came back from an older copy may lack."""
+        while True:
+            await self._store_health.wait_until_restored()
+            while not await self._follower.read(Topic.HOSTS, 0):
+                await asyncio.sleep(RETRY_INTERVAL_S)
+            await self._registrations.check(self._clock.now())
+            await self._crash_recorder.record_again()
+
     async def _tick_loop(self) -> None:
         while True:
             self._tick(self._clock.now())
@@ -529,6 +539,7 @@
             "shares": self._update_shares,
             "rollouts": self._rollouts.decide,
             "lapsed upstreams": self._change_applier.remove_lapsed,
+            "held records": self._change_applier.settle_held,
             "eligibility": self._update_eligibility,
             "moves": self._mover.start_moves,
             "scaling": self._note_workers,
--- a/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/__init__.py
@@ -18,6 +18,7 @@
     parse_address,
     parse_decimal,
 )
+from waxwingbarrow.gateway.base._eras import Position, number_in_era, split_number
 from waxwingbarrow.gateway.base._http_heads import (
     get_reason_phrase,
     is_event_stream,
@@ -132,6 +133,7 @@
     "Metrics",
     "MoveState",
     "OperatorKey",
+    "Position",
     "Record",
     "RecordPage",
     "ResponseHead",
@@ -168,11 +170,13 @@
     "is_event_stream",
     "is_header_value",
     "is_ip_address",
+    "number_in_era",
     "parse_address",
     "parse_decimal",
     "read_settings",
     "set_timeouts",
     "split_address",
+    "split_number",
     "write_request_head",
     "write_response_head",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_model.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_model.py
@@ -281,7 +281,8 @@
     duration_s : float
         Time within which the rollout is to be decided.
     offset : int
-        Position of the order in the store; identifies the order.
+        Position of the order in the store, over all its eras; identifies the order. See
+        `number_in_era`.
     """
 
     service: ServiceName
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -11,6 +11,7 @@
 from result import Result
 
 from waxwingbarrow.core import AccountId, DataCentre, Failure, ServiceName
+from waxwingbarrow.gateway.base._eras import Position
 from waxwingbarrow.gateway.base._model import (
     Call,
     CallMetadata,
@@ -95,10 +96,22 @@
 
 @attrs.frozen
 class KeyedPage:
-    """Records of a keyed topic, and the offset after the topic's newest record."""
+    """Records of a keyed topic, and the offset after the topic's newest record.
+
+    Parameters
+    ----------
+    era : int
+        Era of the store that the offsets belong to; see `Position`.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position after the topic's newest record."""
+        return Position(self.era, self.end)
 
 
 @attrs.frozen
@@ -111,10 +124,17 @@
 
 @attrs.frozen
 class RecordPage:
-    """Records of a plain topic, and the offset after the topic's newest record."""
+    """Records of a plain topic, and the offset after the topic's newest record.
+
+    Parameters
+    ----------
+    era : int
+        Era of the store that the offsets belong to; see `Position`.
+    """
 
     records: tuple[Record, ...]
     end: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -126,7 +146,8 @@
     held : bool
         Whether this member holds the lease on the duties.
     generation : int
-        Generation of the group; the holder of the lease uses it as fencing token.
+        Generation of the group; the holder of the lease uses it as fencing token. It
+        rises over the eras of the store.
     """
 
     held: bool
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -15,8 +15,10 @@
     KeyedRecord,
     RolloutKey,
     Topic,
+    number_in_era,
 )
 from waxwingbarrow.gateway.configuration._evacuation_orders import EvacuationOrders
+from waxwingbarrow.gateway.configuration._held_records import HeldRecords
 from waxwingbarrow.gateway.configuration._registrations import read_host
 from waxwingbarrow.gateway.peers import Members
 from waxwingbarrow.gateway.replication import Change, Replica, StoreHealth
@@ -67,14 +69,16 @@
         self._members = members
         self._count_hosts = count_hosts
         self._evacuation_orders = EvacuationOrders(fleet, planner)
+        self._held = HeldRecords()
 
     def apply_listings(self, pages: dict[str, KeyedPage]) -> None:
         """Apply a peer's listings of those topics in which it is ahead."""
         for topic, page in pages.items():
             replica = self._replicas.get(topic)
             if replica is not None and (
-                page.end > replica.end or not replica.is_loaded
+                page.position > replica.position or not replica.is_loaded
             ):
+                self._store_health.note_era(page.era)
                 self.apply_change(topic, replica.apply_listing(page))
 
     def should_fetch(self, topic: str, now: Instant) -> bool:
@@ -89,8 +93,77 @@
         return confirmed_ms is None or now.mono_ms - confirmed_ms > UPSTREAMS_STALE_MS
 
     def apply_change(self, topic: str, change: Change) -> None:
-        """Apply a change of a topic to the components that depend on it."""
+        """Apply a change of a topic to the components that depend on it.
+
+        If the store came back from an older copy, what it lacks or may have from before
+        is held; see `HeldRecords`.
+        """
         now = self._clock.now()
+        if change.is_restored:
+            change = self._hold_outdated(topic, change, now)
+        else:
+            for key in (*(record.key for record in change.changed), *change.removed):
+                self._held.release(topic, key)
+        self._apply(topic, change, now)
+
+    def _hold_outdated(self, topic: str, change: Change, now: Instant) -> Change:
+        """Hold the records that may be outdated; return the rest of a change."""
+        held = {
+            record.key
+            for record in change.changed
+            if self._may_be_outdated(topic, record.key)
+        }
+        kept_removals: tuple[str, ...] = ()
+        if topic == Topic.UPSTREAMS:
+            # Their registrations have lapsed, as in an outage of the store.
+            kept_removals = change.removed
+        else:
+            held.update(change.removed)
+        for key in held:
+            self._held.hold(topic, key, now)
+        if topic == Topic.STATUS:
+            self._rollouts.forget_recorded()
+        logger.warning(
+            "records of a restored store compared with the known ones",
+            extra={
+                "topic": topic,
+                "changed": len(change.changed),
+                "removed": len(change.removed),
+                "held": len(held),
+            },
+        )
+        applied = [r for r in change.changed if r.key not in held]
+        return Change((*applied, *change.moved), kept_removals, True)
+
+    def _may_be_outdated(self, topic: str, key: str) -> bool:
+        """Whether a record of a restored store may be older than what is known.
+
+        Configurations and the registrations of known upstreams tell their own order.
+        """
+        match topic:
+            case Topic.OPERATOR:
+                return self._codec.read_operator_key(key) is not None
+            case Topic.UPSTREAMS:
+                return UpstreamId(key) not in self._fleet.upstreams
+            case _:
+                return False
+
+    def settle_held(self, now: Instant) -> None:
+        """Apply the held records that were not written again; called each tick."""
+        for topic, key in self._held.take_due(now):
+            record = self._replicas[topic].records.get(key)
+            logger.warning(
+                "record not written again after the store was restored",
+                extra={"topic": topic, "key": key, "is_missing": record is None},
+            )
+            if topic == Topic.UPSTREAMS:
+                # A running upstream would have written again.
+                continue
+            changed = () if record is None else (record,)
+            removed = (key,) if record is None else ()
+            self._apply(topic, Change(changed, removed), now)
+
+    def _apply(self, topic: str, change: Change, now: Instant) -> None:
         match topic:
             case Topic.OPERATOR:
                 self._apply_operator_change(change, now)
@@ -120,7 +193,10 @@
                         pass
 
     def _apply_rollout(self, record: KeyedRecord, now: Instant) -> None:
-        order = self._codec.read_rollout(record.value, record.offset)
+        era = self._replicas[Topic.OPERATOR].position.era
+        order = self._codec.read_rollout(
+            record.value, number_in_era(era, record.offset)
+        )
         if isinstance(order, Err):
             self._log_unreadable(record.key, order.err_value.reason)
         else:
@@ -155,7 +231,7 @@
             with self._log_failure(record.key):
                 self._apply_upstream(record, now)
         for key in change.removed:
-            self._handle_lapse(UpstreamId(key), now)
+            self._handle_lapse(UpstreamId(key), change.is_restored, now)
 
     def _apply_upstream(self, record: KeyedRecord, now: Instant) -> None:
         read = self._codec.read_upstream(record.key, record.value)
@@ -165,17 +241,20 @@
         else:
             self._fleet.put(read.ok_value, now)
 
-    def _handle_lapse(self, upstream_id: UpstreamId, now: Instant) -> None:
+    def _handle_lapse(
+        self, upstream_id: UpstreamId, is_restored: bool, now: Instant
+    ) -> None:
         """Remove an upstream whose registration lapsed.
 
-        If it may have lapsed because of an outage of the store, the upstream is only
-        marked, and can register again until `remove_lapsed` removes it.
+        If it may have lapsed because of an outage of the store, or is missing from its
+        older copy, the upstream is only marked, and can register again until
+        `remove_lapsed` removes it.
         """
         last_failed_at = self._store_health.failed_at
         upstream = self._fleet.upstreams.get(upstream_id)
         if upstream is None:
             return
-        if (
+        if not is_restored and (
             last_failed_at is None
             or now.mono_ms - last_failed_at.mono_ms >= REREGISTRATION_GRACE_MS
         ):
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_registrations.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_registrations.py
@@ -114,7 +114,7 @@
             if await self._write(host, b""):
                 logger.info("host removed", extra={"removed": host})
                 self._members.forget_absent(host, now)
-        if registered and self._own.host not in registered:
+        if self._replica.is_loaded and self._own.host not in registered:
             await self._write_own()
 
     async def _write_own(self) -> bool:
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/__init__.py
@@ -21,6 +21,7 @@
     RelaySummary,
     decode_message,
     encode_message,
+    list_positions,
 )
 
 __all__ = [
@@ -43,4 +44,5 @@
     "RelaySummary",
     "decode_message",
     "encode_message",
+    "list_positions",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/messages/_messages.py
@@ -9,6 +9,7 @@
 from waxwingbarrow.gateway.base import (
     BoundedFloat,
     BoundedInt,
+    Position,
     Unreadable,
     Unsigned64,
     decode_with,
@@ -86,6 +87,8 @@
         Speed of the engines, if the sender is the keeper; see `SpeedReport`.
     cold : list
         Upstreams that are cold, which no registration states; see `ColdReport`.
+    store_era : int
+        Era of the store that `end_offsets` belong to; see `Position`.
     """
 
     format: BoundedInt
@@ -114,6 +117,7 @@
     notices: list[NoticeReport] = []
     speeds: list[SpeedReport] = []
     cold: list[ColdReport] = []
+    store_era: BoundedInt = 0
 
 
 class RelaySummary(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
@@ -135,7 +139,7 @@
         Names of the hosts of the relay's data centre.
     holder : tuple or None
         Fencing token and IP address of the holder of the duties.
-    end_offsets, fleet_hash, eligibility : dict, int, int
+    end_offsets, fleet_hash, eligibility, store_era : dict, int, int, int
         Of the relay itself, as in `Heartbeat`.
     replacement : str
         Host that replaces the sender as relay of its data centre; empty if none does.
@@ -171,6 +175,15 @@
     notices: list[NoticeReport] = []
     speeds: list[SpeedReport] = []
     cold: list[ColdReport] = []
+    store_era: BoundedInt = 0
+
+
+def list_positions(message: Heartbeat | RelaySummary) -> dict[str, Position]:
+    """Return the position up to which the sender of a message knows each topic."""
+    return {
+        topic: Position(message.store_era, end)
+        for topic, end in message.end_offsets.items()
+    }
 
 
 class PlacementQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_internal_endpoints.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_internal_endpoints.py
@@ -6,7 +6,7 @@
 
 from waxwingbarrow.gateway.base import Call, get_reason_phrase
 from waxwingbarrow.gateway.callers import Responder
-from waxwingbarrow.gateway.replication import Replica, decode_offsets, encode_listing
+from waxwingbarrow.gateway.replication import Replica, decode_positions, encode_listing
 
 
 class InternalEndpoints:
@@ -37,7 +37,7 @@
             case b"/metrics":
                 return 200, generate_latest(self._registry)
             case b"/replicas":
-                return 200, encode_listing(self._replicas, decode_offsets(query))
+                return 200, encode_listing(self._replicas, decode_positions(query))
             case _:
                 # The platform chooses the path of the readiness probe.
                 return (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peer_sync.py
@@ -9,11 +9,11 @@
     UpstreamId,
 )
 from waxwingbarrow.gateway.admission import Quotas
-from waxwingbarrow.gateway.base import Topic
+from waxwingbarrow.gateway.base import Position, Topic
 from waxwingbarrow.gateway.messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
 from waxwingbarrow.gateway.peers._candidates import DutyEligibility
 from waxwingbarrow.gateway.peers._members import Member, Members
-from waxwingbarrow.gateway.replication import Replica
+from waxwingbarrow.gateway.replication import Replica, list_end_offsets
 from waxwingbarrow.gateway.requests import Rollouts, UsageCounter, WorkMeter
 from waxwingbarrow.gateway.upstreams import CrashTracker, Fleet, Load
 from waxwingbarrow.routing import PromptPart
@@ -78,9 +78,15 @@
         self.can_hold_duties = True
         self.is_candidate = False
 
-    def list_end_offsets(self) -> dict[str, int]:
-        """Return the offset up to which this host knows each topic."""
-        return {topic: replica.end for topic, replica in self._replicas.items()}
+    def list_end_offsets(self) -> tuple[int, dict[str, int]]:
+        """Return the offsets that this host knows; see `list_end_offsets`."""
+        return list_end_offsets(self._replicas)
+
+    @property
+    def operator_position(self) -> Position:
+        """Position up to which this host knows the operator's topic."""
+        replica = self._replicas.get(Topic.OPERATOR)
+        return replica.position if replica is not None else Position()
 
     def measure_operator_age_ms(self, now: Instant) -> int | None:
         """Return the time since the store confirmed the copy of the operator's topic.
@@ -118,12 +124,13 @@
             (str(upstream), [(part.part, part.tokens) for part in sent])
             for upstream, sent in self._fleet.take_sent_parts()[-MAX_HEARTBEAT_PROMPTS:]
         ]
+        store_era, end_offsets = self.list_end_offsets()
         return Heartbeat(
             MESSAGE_FORMAT,
             self._host,
             self._started_ms,
             self._data_centre,
-            self.list_end_offsets(),
+            end_offsets,
             loads,
             [(str(name), demand) for name, demand in self._quotas.list_demands(now)],
             [
@@ -145,6 +152,7 @@
             notices=self._fleet.notices.list_reports(now),
             speeds=self._fleet.estimates.list_keeper_reports(now),
             cold=self._fleet.notices.cold.list_reports(now),
+            store_era=store_era,
         )
 
     def apply_heartbeat(
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_peers.py
@@ -12,7 +12,13 @@
 
 from waxwingbarrow.core import Clock, HostId, Instant
 from waxwingbarrow.gateway.admission import STAND_IN_SHARE, Permits, QuotaAdmission
-from waxwingbarrow.gateway.base import Supervisor, Topic, Unreadable, is_ip_address
+from waxwingbarrow.gateway.base import (
+    Position,
+    Supervisor,
+    Topic,
+    Unreadable,
+    is_ip_address,
+)
 from waxwingbarrow.gateway.messages import (
     AttemptReport,
     Fragmenter,
@@ -26,6 +32,7 @@
     RelaySummary,
     decode_message,
     encode_message,
+    list_positions,
 )
 from waxwingbarrow.gateway.peers._candidates import Candidacy, DutyEligibility
 from waxwingbarrow.gateway.peers._host_counts import HostCounts
@@ -555,16 +562,14 @@
             The relay of this host; another one if this host is about to be replaced as
             relay, and then the total tells its hosts of that one.
         """
-        fleet_hash, end_offsets = (
-            self._fleet.compute_hash(),
-            self._peer_sync.list_end_offsets(),
-        )
+        store_era, end_offsets = self._peer_sync.list_end_offsets()
         own = self._aggregator.summarize_own(
-            fleet_hash,
+            self._fleet.compute_hash(),
             end_offsets,
             now,
             self._peer_sync.find_eligibility(),
             self._peer_sync.measure_operator_age_ms(now),
+            store_era,
         )
         notices = self._fleet.notices.list_reports(now)
         speeds = self._fleet.estimates.list_reports(now)
@@ -667,12 +672,8 @@
             member = self._peer_sync.apply_heartbeat(heartbeat, sender_address, now)
             if member is not None:
                 if self._precedes(member.host):
-                    self._note_operator_age(
-                        heartbeat.operator_age_ms, heartbeat.end_offsets, now
-                    )
-                self._fetcher.fetch_if_behind(
-                    heartbeat.end_offsets, (address, self._control_port), now
-                )
+                    self._note_operator_age(heartbeat, now)
+                self._fetch_if_behind(heartbeat, address, now)
             return
         member = self._peer_sync.apply_counts(heartbeat, sender_address, now)
         if member is not None and self._peer_sync.held_fencing_token:
@@ -686,9 +687,8 @@
             self._used_as_relay_ms = now.mono_ms
             self._aggregator.add_heartbeat(heartbeat, address, now)
             # Its hosts may reach the store while no relay does.
-            operator_end = heartbeat.end_offsets.get(Topic.OPERATOR, 0)
-            self._fetcher.fetch_if_behind(
-                {Topic.OPERATOR: operator_end}, (address, self._control_port), now
+            self._fetch_if_behind(
+                heartbeat, address, now, lambda topic: topic == Topic.OPERATOR
             )
 
     def _handle_summary(
@@ -710,10 +710,9 @@
             self._fetcher.fetch_if_fleet_differs(is_same, control, now)
             # The offset of the registrations grows with each heartbeat of an upstream,
             # so a difference says little. The hash tells whether the upstreams differ.
-            end_offsets = {
-                t: end for t, end in summary.end_offsets.items() if t != Topic.UPSTREAMS
-            }
-            self._fetcher.fetch_if_behind(end_offsets, control, now)
+            self._fetch_if_behind(
+                summary, address, now, lambda topic: topic != Topic.UPSTREAMS
+            )
             return
         if summary.relay == self._own.host:
             # A host that was taken for another relay forwarded it.
@@ -727,8 +726,22 @@
         self._aggregator.add_summary(summary, origin, now)
         if summary.data_centre == self._own.data_centre:
             self._settle_relay(HostId(summary.relay), origin, now)
-        control = (address, self._control_port)
-        self._fetcher.fetch_if_behind(summary.end_offsets, control, now)
+        self._fetch_if_behind(summary, address, now)
+
+    def _fetch_if_behind(
+        self,
+        message: Heartbeat | RelaySummary,
+        address: str,
+        now: Instant,
+        is_wanted: Callable[[str], bool] = lambda topic: True,
+    ) -> None:
+        """Fetch from the sender of a message if this host knows less of a topic."""
+        positions = {
+            topic: position
+            for topic, position in list_positions(message).items()
+            if is_wanted(topic)
+        }
+        self._fetcher.fetch_if_behind(positions, (address, self._control_port), now)
 
     def _precedes(self, other: HostId) -> bool:
         """Return whether another host is preferred to this one as relay."""
@@ -736,13 +749,13 @@
         return ranked[0] == other
 
     def _note_operator_age(
-        self, age_ms: int | None, end_offsets: dict[str, int], now: Instant
+        self, message: Heartbeat | RelaySummary, now: Instant
     ) -> None:
         """Record how recently the store confirmed the operator's topic to a host."""
         self._operator_coverage.note_message(
-            age_ms,
-            end_offsets.get(Topic.OPERATOR, 0),
-            self._peer_sync.list_end_offsets().get(Topic.OPERATOR, 0),
+            message.operator_age_ms,
+            list_positions(message).get(Topic.OPERATOR, Position()),
+            self._peer_sync.operator_position,
             now,
         )
 
@@ -762,7 +775,7 @@
 
     def _apply_total(self, summary: RelaySummary, now: Instant) -> None:
         self._last_total = (summary, now.mono_ms)
-        self._note_operator_age(summary.operator_age_ms, summary.end_offsets, now)
+        self._note_operator_age(summary, now)
         self._host_counts = [
             (received_ms, hosts)
             for received_ms, hosts in self._host_counts
--- a/libs/gateway/src/waxwingbarrow/gateway/peers/_relays.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/peers/_relays.py
@@ -20,8 +20,13 @@
 import xxhash
 
 from waxwingbarrow.core import DataCentre, HostId, Instant
-from waxwingbarrow.gateway.base import MAX_INTEGER, MAX_NUMBER, Topic
-from waxwingbarrow.gateway.messages import MESSAGE_FORMAT, Heartbeat, RelaySummary
+from waxwingbarrow.gateway.base import MAX_INTEGER, MAX_NUMBER, Position, Topic
+from waxwingbarrow.gateway.messages import (
+    MESSAGE_FORMAT,
+    Heartbeat,
+    RelaySummary,
+    list_positions,
+)
 from waxwingbarrow.gateway.upstreams import merge_part_losses, merge_suspects
 
 # Number of hosts from which relays are used. A full mesh of this many hosts costs each
@@ -223,6 +228,7 @@
         now: Instant,
         eligibility: int = 1,
         operator_age_ms: int | None = None,
+        store_era: int = 0,
     ) -> RelaySummary:
         """Return the sums over this data centre.
 
@@ -230,7 +236,7 @@
 
         Parameters
         ----------
-        fleet_hash, end_offsets, eligibility : int, dict, int
+        fleet_hash, end_offsets, eligibility, store_era : int, dict, int, int
             Of the relay itself; see `Heartbeat`.
         operator_age_ms : int or None
             Of the relay itself; see `RelaySummary`.
@@ -270,6 +276,7 @@
             part_losses=merge_part_losses(
                 heartbeat.part_losses for heartbeat in heartbeats
             ),
+            store_era=store_era,
         )
 
     def summarize_all(self, own: RelaySummary, now: Instant) -> RelaySummary:
@@ -308,6 +315,7 @@
             _concatenate(summary.withdrawn for summary in summaries),
             operator_age_ms=self._find_operator_age_ms(own, now),
             part_losses=merge_part_losses(summary.part_losses for summary in summaries),
+            store_era=own.store_era,
         )
 
     def _find_operator_age_ms(self, own: RelaySummary, now: Instant) -> int | None:
@@ -315,10 +323,11 @@
 
         That of another relay holds only if this one knows as much.
         """
-        own_end = own.end_offsets.get(Topic.OPERATOR, 0)
+        own_position = list_positions(own).get(Topic.OPERATOR, Position())
         ages_ms = [own.operator_age_ms]
         for summary, _, received_ms in self._summaries.values():
-            is_known = own_end >= summary.end_offsets.get(Topic.OPERATOR, 0)
+            known = list_positions(summary).get(Topic.OPERATOR, Position())
+            is_known = own_position >= known
             if summary.operator_age_ms is not None and is_known:
                 ages_ms.append(summary.operator_age_ms + now.mono_ms - received_ms)
         return min((age_ms for age_ms in ages_ms if age_ms is not None), default=None)
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/__init__.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/__init__.py
@@ -5,8 +5,9 @@
 from waxwingbarrow.gateway.replication._replica import Change, Replica
 from waxwingbarrow.gateway.replication._replica_fetcher import (
     ReplicaFetcher,
-    decode_offsets,
+    decode_positions,
     encode_listing,
+    list_end_offsets,
 )
 
 __all__ = [
@@ -16,6 +17,7 @@
     "Replica",
     "ReplicaFetcher",
     "StoreHealth",
-    "decode_offsets",
+    "decode_positions",
     "encode_listing",
+    "list_end_offsets",
 ]
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
@@ -41,7 +41,10 @@
     failed_at : Instant or None
         Time of the last call that failed.
     recovered_at : Instant or None
-        Time of the last call that succeeded after a failed one.
+        Time of the last call that succeeded after a failed one, or at which this host
+        learned that the store came back from an older copy.
+    era : int or None
+        Newest era of the store that this host knows; see `Position`.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -49,7 +52,9 @@
         self._unreachable_since: Instant | None = None
         self.failed_at: Instant | None = None
         self.recovered_at: Instant | None = None
+        self.era: int | None = None
         self._regained = asyncio.Event()
+        self._restored = asyncio.Event()
 
     @property
     def is_unreachable(self) -> bool:
@@ -66,13 +71,34 @@
             )
             self._unreachable_since = None
             self.recovered_at = now
-            self._regained.set()
-            self._regained = asyncio.Event()
+            self._notify_waiting()
+
+    def note_era(self, era: int) -> None:
+        """Record the era of an answer of the store, or of a peer's copy of it."""
+        known, self.era = self.era, max(era, self.era or 0)
+        if known is None or era <= known:
+            return
+        logger.warning(
+            "knowledge of an earlier era of the store is checked",
+            extra={"era": era, "era_before": known},
+        )
+        self.recovered_at = self._clock.now()
+        self._notify_waiting()
+        self._restored.set()
+        self._restored = asyncio.Event()
+
+    def _notify_waiting(self) -> None:
+        self._regained.set()
+        self._regained = asyncio.Event()
 
     async def wait_until_regained(self) -> None:
-        """Wait for the next call that is answered after a failed one."""
+        """Wait for an answer after a failed call, or for a new era."""
         await self._regained.wait()
 
+    async def wait_until_restored(self) -> None:
+        """Wait until this host learns that the store came back from an older copy."""
+        await self._restored.wait()
+
     def record_failure(self, topic: str, failure: StoreFailure) -> None:
         """Record that a call failed."""
         now = self._clock.now()
@@ -200,7 +226,8 @@
         replica = self._replicas[topic]
         if not replica.is_loaded:
             return await self._read_listing(topic)
-        read = await self._store.read_keyed(topic, replica.end, wait_ms)
+        known = replica.position
+        read = await self._store.read_keyed(topic, known.offset, wait_ms)
         if isinstance(read, Err):
             match read.err_value:
                 case HistoryGone(first_offset):
@@ -212,8 +239,15 @@
                 case failure:
                     self._store_health.record_failure(topic, failure)
                     return False
+        page = read.ok_value
+        if page.era > known.era:
+            # The records at these offsets are others than those of the known era.
+            return await self._read_listing(topic)
+        if page.era < known.era or replica.position.era > known.era:
+            # A peer's listing of a newer era was applied, or the answer comes late.
+            return True
         self._mark_confirmed(replica)
-        self._apply_change(topic, replica.apply_records(read.ok_value))
+        self._apply_change(topic, replica.apply_records(page))
         return True
 
     async def _read_listing(self, topic: str) -> bool:
@@ -230,8 +264,12 @@
                 return True
             self._store_health.record_failure(topic, read.err_value)
             return False
+        page = read.ok_value
+        if page.era < replica.position.era:
+            return True
+        self._store_health.note_era(page.era)
         self._mark_confirmed(replica)
-        self._apply_change(topic, replica.apply_listing(read.ok_value))
+        self._apply_change(topic, replica.apply_listing(page))
         return True
 
     def _mark_confirmed(self, replica: Replica) -> None:
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_operator_coverage.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_operator_coverage.py
@@ -12,6 +12,7 @@
 import attrs
 
 from waxwingbarrow.core import Instant
+from waxwingbarrow.gateway.base import Position
 
 # A copy is up to date if a host that knows no more had an answer of the store within
 # this time. The operator's changes must be in force within two seconds at the least.
@@ -28,18 +29,22 @@
     ----------
     confirmed_ms : int or None
         Monotonic time at which the store last confirmed what another host knows.
-    known_end : int
-        Highest offset up to which another host knows the topic.
+    known_position : Position
+        Highest position up to which another host knows the topic.
     behind_since_ms : int or None
         Monotonic time since which this host knows less than another one.
     """
 
     confirmed_ms: int | None = None
-    known_end: int = 0
+    known_position: Position = Position()
     behind_since_ms: int | None = None
 
     def note_message(
-        self, age_ms: int | None, sender_end: int, own_end: int, now: Instant
+        self,
+        age_ms: int | None,
+        sender_position: Position,
+        own_position: Position,
+        now: Instant,
     ) -> None:
         """Record a total of the relay, or a heartbeat of a host that asks often.
 
@@ -47,15 +52,15 @@
         ----------
         age_ms : int or None
             Time since the store confirmed what the sender knows; None if it has not.
-        sender_end, own_end : int
-            Offsets up to which the sender and this host know the topic.
+        sender_position, own_position : Position
+            Positions up to which the sender and this host know the topic.
         """
         if age_ms is not None:
             confirmed_ms = now.mono_ms - age_ms
             if self.confirmed_ms is None or confirmed_ms > self.confirmed_ms:
                 self.confirmed_ms = confirmed_ms
-        self.known_end = max(self.known_end, sender_end)
-        if own_end >= self.known_end:
+        self.known_position = max(self.known_position, sender_position)
+        if own_position >= self.known_position:
             self.behind_since_ms = None
         elif self.behind_since_ms is None:
             self.behind_since_ms = now.mono_ms
@@ -66,7 +71,8 @@
         Examples
         --------
         >>> coverage = OperatorCoverage()
-        >>> coverage.note_message(300, sender_end=7, own_end=7, now=Instant(0, 1_000))
+        >>> known = Position(offset=7)
+        >>> coverage.note_message(300, known, known, Instant(0, 1_000))
         >>> [coverage.is_covered(Instant(0, now_ms)) for now_ms in (1_250, 3_000)]
         [True, False]
         """
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
@@ -14,6 +14,7 @@
     BoundedInt,
     KeyedPage,
     KeyedRecord,
+    Position,
     parse_decimal,
 )
 from waxwingbarrow.gateway.replication._replica import Replica
@@ -33,11 +34,34 @@
 # the configuration of the largest deployment.
 MAX_LISTING_BYTES = 16 * 1024 * 1024
 
-# For each topic its end offset, and the offset, key and value of each record.
-Listing = dict[str, tuple[BoundedInt, list[tuple[BoundedInt, str, bytes]]]]
+# Parameter of a fetch with the era of the offsets that a host knows.
+ERA_PARAMETER = "era"
 
 
-def encode_listing(replicas: Mapping[str, Replica], known: Mapping[str, int]) -> bytes:
+class _TopicListing(msgspec.Struct, array_like=True):
+    """Records of a topic.
+
+    Parameters
+    ----------
+    end : int
+        Offset after the newest record.
+    records : list
+        Offset, key and value of each record.
+    era : int
+        Era of the store that the offsets belong to.
+    """
+
+    end: BoundedInt
+    records: list[tuple[BoundedInt, str, bytes]]
+    era: BoundedInt = 0
+
+
+Listing = dict[str, _TopicListing]
+
+
+def encode_listing(
+    replicas: Mapping[str, Replica], known: Mapping[str, Position]
+) -> bytes:
     """Serialize the replicas in which this host is ahead of a peer.
 
     All hosts of a data centre fetch from one relay, whose link may be slow, so the
@@ -46,14 +70,17 @@
     Parameters
     ----------
     known : mapping
-        Offset up to which the peer knows each topic.
+        Position up to which the peer knows each topic.
     """
-    listing: Listing = {}
+    listing: dict[str, object] = {}
     for topic, replica in replicas.items():
-        if replica.is_loaded and replica.end > known.get(topic, -1):
+        if replica.is_loaded and (
+            topic not in known or replica.position > known[topic]
+        ):
             page = replica.make_listing()
             records = [(r.offset, r.key, r.value) for r in page.records]
-            listing[topic] = (page.end, records)
+            # Hosts of the version before know no eras.
+            listing[topic] = (page.end, records, *([page.era] if page.era else []))
     return zlib.compress(msgspec.msgpack.encode(listing), 1)
 
 
@@ -68,30 +95,53 @@
     decompressed = zlib.decompressobj().decompress(data, MAX_LISTING_BYTES)
     listing = msgspec.msgpack.decode(decompressed, type=Listing)
     return {
-        topic: KeyedPage(tuple(KeyedRecord(*record) for record in records), end)
-        for topic, (end, records) in listing.items()
+        topic: KeyedPage(
+            tuple(KeyedRecord(*record) for record in item.records), item.end, item.era
+        )
+        for topic, item in listing.items()
     }
 
 
-def encode_offsets(replicas: Mapping[str, Replica]) -> bytes:
-    """Return a query string with the offset up to which this host knows each topic."""
+def list_end_offsets(replicas: Mapping[str, Replica]) -> tuple[int, dict[str, int]]:
+    """Return the newest known era, and for each topic the offset of its end in it.
+
+    The offset is 0 for topics that are known only in an earlier era.
+    """
+    era = max((replica.position.era for replica in replicas.values()), default=0)
+    return era, {
+        topic: replica.end if replica.position.era == era else 0
+        for topic, replica in replicas.items()
+    }
+
+
+def encode_positions(replicas: Mapping[str, Replica]) -> bytes:
+    """Return a query string with the position up to which this host knows each topic.
+
+    Topics that are known only in an earlier era are left out.
+    """
+    era, ends = list_end_offsets(replicas)
     known = {
-        topic: replica.end for topic, replica in replicas.items() if replica.is_loaded
+        topic: end
+        for topic, end in ends.items()
+        if replicas[topic].is_loaded and replicas[topic].position.era == era
     }
-    return urlencode(known).encode()
+    return urlencode({**known, ERA_PARAMETER: era}).encode()
 
 
-def decode_offsets(query: bytes) -> dict[str, int]:
+def decode_positions(query: bytes) -> dict[str, Position]:
     """Parse the query string of a fetch, ignoring values that are not offsets.
 
     Examples
     --------
-    >>> decode_offsets(b"operator=3&upstreams=x")
-    {'operator': 3}
+    >>> decode_positions(b"operator=3&upstreams=x&era=2")
+    {'operator': Position(era=2, offset=3)}
     """
     pairs = parse_qsl(query.decode("latin-1"))
-    ends = {topic: parse_decimal(end) for topic, end in pairs}
-    return {topic: end for topic, end in ends.items() if end is not None}
+    numbers = {name: parse_decimal(number) for name, number in pairs}
+    era = numbers.pop(ERA_PARAMETER, None) or 0
+    return {
+        topic: Position(era, end) for topic, end in numbers.items() if end is not None
+    }
 
 
 class ReplicaFetcher:
@@ -117,35 +167,38 @@
         self._apply_listings = apply_listings
         self._should_fetch = should_fetch
         self._fetch_task: asyncio.Task[None] | None = None
-        # By topic, the end offset with which a peer was first seen to be ahead, and the
+        # By topic, the position with which a peer was first seen to be ahead, and the
         # monotonic time of that.
-        self._behind: dict[str, tuple[int, int]] = {}
+        self._behind: dict[str, tuple[Position, int]] = {}
         self._fleet_differs_since_ms: int | None = None
 
     def fetch_if_behind(
-        self, end_offsets: Mapping[str, int], address: tuple[str, int], now: Instant
+        self,
+        positions: Mapping[str, Position],
+        address: tuple[str, int],
+        now: Instant,
     ) -> None:
         """Fetch from a peer if this host has been behind for `FETCH_DELAY_MS`.
 
         Parameters
         ----------
-        end_offsets : mapping
-            Offset up to which the peer knows each topic.
+        positions : mapping
+            Position up to which the peer knows each topic.
         address : tuple
             IP address and control port of the peer.
         """
-        for topic, end in end_offsets.items():
+        for topic, position in positions.items():
             replica = self._replicas.get(topic)
             if replica is None:
                 continue
             # The delay goes on until this host has caught up: a message of another peer
             # that is as far behind must not restart it.
             noted = self._behind.get(topic)
-            if noted is not None and replica.end >= noted[0]:
+            if noted is not None and replica.position >= noted[0]:
                 del self._behind[topic]
-            if end <= replica.end or not self._should_fetch(topic, now):
+            if position <= replica.position or not self._should_fetch(topic, now):
                 continue
-            _, since_ms = self._behind.setdefault(topic, (end, now.mono_ms))
+            _, since_ms = self._behind.setdefault(topic, (position, now.mono_ms))
             if now.mono_ms - since_ms >= FETCH_DELAY_MS:
                 self.fetch(address)
                 return
@@ -177,7 +230,7 @@
 
     async def _fetch(self, address: tuple[str, int]) -> None:
         pool = ChannelPool(*address)
-        target = b"/replicas?" + encode_offsets(self._replicas)
+        target = b"/replicas?" + encode_positions(self._replicas)
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 channel = await pool.acquire(self._clock.now().mono_ms / 1000)
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
@@ -7,7 +7,12 @@
 import xxhash
 
 from waxwingbarrow.core import HostId, Instant, RouteName, ServiceName, VersionName
-from waxwingbarrow.gateway.base import RolloutOrder, RolloutState, RolloutStatus
+from waxwingbarrow.gateway.base import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    split_number,
+)
 from waxwingbarrow.rollout import (
     CanaryDecision,
     CanaryPolicy,
@@ -122,10 +127,23 @@
         self._completed_versions: dict[ServiceName, VersionName] = {}
 
     def apply_order(self, order: RolloutOrder, now: Instant) -> None:
-        """Apply an order that was read from the store, unless a later one is known."""
+        """Apply an order that was read from the store, unless a later one is known.
+
+        The first order of a new era of the store is the known one, if it says the same:
+        it was in the older copy, or is written again.
+        """
         known = self._rollouts.get(order.service)
-        if known is not None and known.order.offset >= order.offset:
-            return
+        if known is not None:
+            if known.order.offset >= order.offset:
+                return
+            era, known_era = (
+                split_number(offset)[0] for offset in (order.offset, known.order.offset)
+            )
+            if era > known_era and known.order == attrs.evolve(
+                order, offset=known.order.offset
+            ):
+                known.order = order
+                return
         self._rollouts[order.service] = Rollout(order, now)
         self._withdrawn_versions.get(order.service, set()).discard(order.to_version)
         logger.info(
@@ -138,6 +156,14 @@
             },
         )
 
+    def forget_recorded(self) -> None:
+        """Forget which states the store holds, as it came back from an older copy.
+
+        The states stay in force, and are recorded again if the copy lacks them.
+        """
+        for rollout in self._rollouts.values():
+            rollout.recorded = None
+
     def apply_status(self, status: RolloutStatus) -> None:
         """Apply a state that was recorded in the store."""
         rollout = self._rollouts.get(status.service)
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
@@ -53,6 +53,8 @@
         self._tracker = tracker
         self._clock = clock
         self._changed = asyncio.Event()
+        # What this host has recorded, to record it again if the store loses it.
+        self._recorded: dict[str, PartLosses] = {}
         tracker.on_block_changed = self._changed.set
 
     async def run(self) -> None:
@@ -65,6 +67,15 @@
             for part, losses in self._tracker.take_unrecorded(self._clock.now()):
                 await self._write(part, losses)
 
+    async def record_again(self) -> None:
+        """Record the parts that this host has blocked once more.
+
+        Called when the store came back from an older copy. A record that is not lost is
+        replaced by the same one.
+        """
+        for part, losses in list(self._recorded.items()):
+            await self._write(part, losses)
+
     def _restore(self, read: Result[KeyedPage, StoreFailure]) -> bool:
         """Apply the records; return whether the store answered."""
         if isinstance(read, Err):
@@ -94,7 +105,9 @@
     async def _write(self, part: str, losses: PartLosses | None) -> None:
         """Record a part that is blocked, or remove the record of one that is not."""
         value = b""
+        self._recorded.pop(part, None)
         if losses is not None:
+            self._recorded[part] = losses
             value = msgspec.json.encode(_Record(self._clock.now().wall_ms, losses))
         written = await self._store.write_keyed(Topic.CRASHES, part, value)
         if isinstance(written, Err):
--- a/libs/gateway/tests/peer_network.py
+++ b/libs/gateway/tests/peer_network.py
@@ -8,8 +8,8 @@
 from waxwingbarrow.gateway.admission._quota_admission import QuotaAdmission
 from waxwingbarrow.gateway.admission._quota_keeper import QuotaKeeper
 from waxwingbarrow.gateway.admission._quotas import Quotas
+from waxwingbarrow.gateway.base import Position, Topic
 from waxwingbarrow.gateway.base._metrics import Metrics
-from waxwingbarrow.gateway.base._ports import Topic
 from waxwingbarrow.gateway.base._settings import Bounds
 from waxwingbarrow.gateway.base._supervision import Supervisor
 from waxwingbarrow.gateway.peers._members import Member, Members
@@ -234,3 +234,8 @@
     (holder,) = list_candidates(network)
     network.hosts[holder].peer_sync.held_fencing_token = 9
     return holder
+
+
+def move_end(replica, count):
+    """Let a replica know `count` further records, none of which changes a key."""
+    replica.position = Position(replica.position.era, replica.end + count)
--- a/libs/gateway/tests/test_operator_coverage.py
+++ b/libs/gateway/tests/test_operator_coverage.py
@@ -6,10 +6,10 @@
 """
 
 import pytest
-from peer_network import Network
+from peer_network import Network, move_end
 
 from waxwingbarrow.core import Instant
-from waxwingbarrow.gateway.base._ports import Topic
+from waxwingbarrow.gateway.base import Position, Topic
 from waxwingbarrow.gateway.replication._operator_coverage import (
     MAX_BEHIND_MS,
     MAX_CONFIRMATION_AGE_MS,
@@ -48,7 +48,7 @@
         for name, host in self.network.hosts.items():
             is_reading = host.find_wait_ms() is not None
             if is_reading and name not in self.without_store:
-                host.replicas[Topic.OPERATOR].end += 1
+                move_end(host.replicas[Topic.OPERATOR], 1)
 
     def list_readers(self):
         return {
@@ -96,19 +96,19 @@
     deployment = Deployment()
     deployment.without_store = {"h0-0"}
     for name in ("h1-0", "h2-0"):
-        deployment.network.hosts[name].replicas[Topic.OPERATOR].end = 5
+        move_end(deployment.network.hosts[name].replicas[Topic.OPERATOR], 5)
     deployment.run(CONFIG_BOUND_MS // 250 - 2)
     readers = deployment.list_readers()
     assert {name for name in deployment.network.hosts if name[:2] == "h0"} <= readers
 
 
 def test_a_copy_is_not_covered_before_any_confirmation():
-    coverage = OperatorCoverage()
+    coverage, known = OperatorCoverage(), Position(offset=3)
     now = Instant(0, 10_000)
     assert not coverage.is_covered(now)
-    coverage.note_message(None, 3, 3, now)
+    coverage.note_message(None, known, known, now)
     assert not coverage.is_covered(now)
-    coverage.note_message(0, 3, 3, now)
+    coverage.note_message(0, known, known, now)
     assert coverage.is_covered(now)
     assert not coverage.is_covered(now.plus_ms(MAX_CONFIRMATION_AGE_MS + 1))
 
--- a/libs/gateway/tests/test_peers.py
+++ b/libs/gateway/tests/test_peers.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from peer_network import Host, Network, list_candidates, make_holder
+from peer_network import Host, Network, list_candidates, make_holder, move_end
 
 from waxwingbarrow.core import AccountId, DataCentre
 from waxwingbarrow.gateway.admission._quota_admission import MAX_ASKED
@@ -314,7 +314,7 @@
     for _ in range(10):
         for host in network.hosts.values():
             if host.peers._is_relay:
-                host.replicas[Topic.UPSTREAMS].end += 50
+                move_end(host.replicas[Topic.UPSTREAMS], 50)
         network.run(1)
     others = [h for h in network.hosts.values() if not h.peers._is_relay]
     assert sum(host.fetch_count for host in others) == 0
@@ -325,7 +325,7 @@
     network.run(6)
     for host in network.hosts.values():
         if host.peers._is_relay:
-            host.replicas[Topic.OPERATOR].end += 1
+            move_end(host.replicas[Topic.OPERATOR], 1)
     network.run(4)
     others = [h for h in network.hosts.values() if not h.peers._is_relay]
     assert all(host.fetch_count for host in others)
@@ -338,7 +338,7 @@
     network = Network(1, 4)
     network.run(2)
     behind, equal, ahead = list(network.hosts.values())[:3]
-    ahead.replicas[Topic.OPERATOR].end = 5
+    move_end(ahead.replicas[Topic.OPERATOR], 5)
     for _ in range(4):
         network.clock.advance_ms(120)
         for sender in (ahead, equal):
--- a/libs/gateway/tests/test_replica_fetcher.py
+++ b/libs/gateway/tests/test_replica_fetcher.py
@@ -8,13 +8,13 @@
 
 import pytest
 
-from waxwingbarrow.gateway.base._ports import KeyedPage, KeyedRecord, Topic
+from waxwingbarrow.gateway.base import KeyedPage, KeyedRecord, Position, Topic
 from waxwingbarrow.gateway.replication._replica import Replica
 from waxwingbarrow.gateway.replication._replica_fetcher import (
     decode_listing,
-    decode_offsets,
+    decode_positions,
     encode_listing,
-    encode_offsets,
+    encode_positions,
 )
 
 
@@ -39,7 +39,7 @@
 def test_topics_in_which_the_peer_is_not_behind_are_left_out():
     own = {Topic.OPERATOR: make_replica(3, 10), Topic.UPSTREAMS: make_replica(5, 40)}
     peer = {Topic.OPERATOR: make_replica(3, 10), Topic.UPSTREAMS: make_replica(4, 30)}
-    known = decode_offsets(encode_offsets(peer))
+    known = decode_positions(encode_positions(peer))
     pages = decode_listing(encode_listing(own, known))
     assert list(pages) == [Topic.UPSTREAMS]
     assert len(pages[Topic.UPSTREAMS].records) == 5
@@ -47,7 +47,7 @@
 
 def test_a_peer_that_has_loaded_nothing_gets_all_topics_even_empty_ones():
     own = {Topic.OPERATOR: make_replica(3, 10), Topic.STATUS: make_replica(0, 0)}
-    known = decode_offsets(encode_offsets({Topic.OPERATOR: Replica()}))
+    known = decode_positions(encode_positions({Topic.OPERATOR: Replica()}))
     assert set(decode_listing(encode_listing(own, known))) == set(own)
 
 
@@ -65,4 +65,7 @@
 
 
 def test_malformed_parts_of_a_query_are_ignored():
-    assert decode_offsets(b"a=1&b=-2&c=%zz&=4&\xff") == {"a": 1, "": 4}
+    assert decode_positions(b"a=1&b=-2&c=%zz&=4&\xff") == {
+        "a": Position(0, 1),
+        "": Position(0, 4),
+    }
