Report usage also when its earlier records have expired

Same class as the store that comes back from an older copy: an offset that outlives what the store remembers. The next read starts at the first record that is kept. The new test failed before without any report.

--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_duty_tasks.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_duty_tasks.py
@@ -13,6 +13,7 @@
     CloudRefused,
     Codec,
     Fenced,
+    HistoryGone,
     RolloutState,
     RolloutStatus,
     Store,
@@ -118,6 +119,12 @@
         while True:
             read = await self._store.read_records(Topic.USAGE, self._offset)
             if isinstance(read, Err):
+                match read.err_value:
+                    case HistoryGone(first_offset) if first_offset != self._offset:
+                        # Earlier records have expired, or the store came back from an
+                        # older copy.
+                        self._offset = first_offset
+                        continue
                 logger.warning(
                     "usage records not read",
                     extra={"reason": describe_failure(read.err_value)},
--- a/libs/gateway/tests/test_duties.py
+++ b/libs/gateway/tests/test_duties.py
@@ -12,6 +12,7 @@
     CloudUnreachable,
     DutyAssignment,
     Fenced,
+    HistoryGone,
     Record,
     RecordPage,
     StoreUnreachable,
@@ -133,6 +134,8 @@
 class FakeStore:
     def __init__(self):
         self.records = []
+        # Records before this offset have expired.
+        self.first_offset = 0
         self.epoch = 0
         self.lose_answers = 0
 
@@ -141,6 +144,8 @@
         return Ok(None)
 
     async def read_records(self, topic, offset):
+        if not self.first_offset <= offset <= len(self.records):
+            return Err(HistoryGone(self.first_offset))
         records = tuple(
             Record(number, value)
             for number, value in enumerate(self.records)
@@ -251,6 +256,18 @@
     assert [window for window, _ in second.reports] == [first.reports[-1][0]]
 
 
+async def test_a_new_holder_reports_when_earlier_records_have_expired():
+    """A holder that asked for expired records never reported anything."""
+    store, first, second = FakeStore(), FakeCloud(), FakeCloud()
+    _, task = make_task(store, first)
+    for ms in (9_000, 14_000, 19_000):
+        await task.step(4, at(ms))
+    store.first_offset = 2
+    _, other = make_task(store, second)
+    await other.step(5, at(24_000))
+    assert [window for window, _ in second.reports][-1] > first.reports[-1][0]
+
+
 async def test_a_fenced_host_reports_nothing():
     store, cloud = FakeStore(), FakeCloud()
     lease = make_lease()
