Report no usage window twice after the store has lost its record

Cause: the record that a holder writes before its report is what the next holder repeats. A copy that lacks the record lets the next holder count the window itself.

A holder appends again what it knows and the store has lost. The first holder of an era records the first window that nobody can have reported before it, and earlier ones are reported only with recorded counts. A holder knows that no other one has acted if it renewed its lease in time, so that a calm holder leaves no window out.

Ruled out: asking the platform what was reported; nothing can be read back.

--- a/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -170,6 +170,8 @@
         Prompt parts that crash upstreams.
     USAGE
         Usage of each time window; a plain topic, the others are keyed.
+    USAGE_ERAS
+        First usage window of each era of the store.
     """
 
     OPERATOR = "operator"
@@ -178,6 +180,7 @@
     HOSTS = "hosts"
     CRASHES = "crashes"
     USAGE = "usage"
+    USAGE_ERAS = "usage_eras"
 
 
 class Store(Protocol):
--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_duties.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_duties.py
@@ -68,6 +68,9 @@
     generation : int
         Highest generation of the group that the store reported. It is the fencing
         token of the holder.
+    sole_since_ms : int or None
+        Monotonic time since which no other host can have acted as the holder; None if
+        another one may have the lease.
     """
 
     def __init__(self, return_wait_ms: int, ttl_ms: int = MEMBER_TTL_MS) -> None:
@@ -78,6 +81,9 @@
         self._wait_ms = ttl_ms - LEASE_MARGIN_MS + TAKEOVER_SLACK_MS
         self._acted_ms: int | None = None
         self.generation = 0
+        self.sole_since_ms: int | None = None
+        # Sending of the last renewal that was answered with the lease.
+        self._renewed_ms = 0
         self._held_since: Instant | None = None
         self._valid_until_ms = 0
         self._refused_token = 0
@@ -100,6 +106,7 @@
             Arrival of the answer, from which a new holder waits: the store may have
             renewed the previous lease until it answered. None if it arrived at once.
         """
+        self._update_sole(held, asked_at, answered_at or asked_at)
         has_expired = asked_at.mono_ms > self._valid_until_ms
         # The generation also changes when other members join or leave. A host that held
         # the lease in between would still be waiting, so this lease continues unless it
@@ -110,9 +117,24 @@
         if held:
             self._valid_until_ms = asked_at.mono_ms + self.ttl_ms - LEASE_MARGIN_MS
 
+    def _update_sole(self, held: bool, asked_at: Instant, answered_at: Instant) -> None:
+        """Update `sole_since_ms`.
+
+        Another host gets the lease at the earliest when this one has not renewed it for
+        its time to live, and then waits before it acts.
+        """
+        if not held:
+            self.sole_since_ms = None
+            return
+        other_acts_ms = self._renewed_ms + self.ttl_ms + self._wait_ms
+        if self.sole_since_ms is None or answered_at.mono_ms >= other_acts_ms:
+            self.sole_since_ms = answered_at.mono_ms
+        self._renewed_ms = asked_at.mono_ms
+
     def note_left(self) -> None:
         """Record that this host left the group."""
         self._held_since = None
+        self.sole_since_ms = None
 
     def note_act(self, now: Instant) -> None:
         """Record that this host acts as the holder."""
--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_duty_tasks.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_duty_tasks.py
@@ -3,25 +3,22 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import msgspec
 from result import Err
 
 from waxwingbarrow.core import AccountId, Instant, ServiceName, VersionName
 from waxwingbarrow.gateway.base import (
-    BoundedInt,
     Cloud,
     CloudRefused,
     Codec,
     Fenced,
-    HistoryGone,
     RolloutState,
     RolloutStatus,
     Store,
     Topic,
-    decode_msgpack,
     describe_failure,
 )
 from waxwingbarrow.gateway.duties._duties import Lease
+from waxwingbarrow.gateway.duties._usage_records import UsageRecords
 from waxwingbarrow.gateway.requests import Rollout, Rollouts, UsageCounter
 from waxwingbarrow.rollout import Complete, Withdraw
 
@@ -38,21 +35,6 @@
 USAGE_GIVE_UP_FACTOR = 2.5
 
 
-class UsageRecord(msgspec.Struct, array_like=True, frozen=True):
-    """Counts of a window, recorded in the store before they are reported.
-
-    Parameters
-    ----------
-    window : int
-        Number of the window, as in `UsageCounter`.
-    counts : dict
-        Number of requests that began to run, by account.
-    """
-
-    window: BoundedInt
-    counts: dict[str, BoundedInt]
-
-
 class UsageTask:
     """Reports the usage of each window, and repeats it only with the same counts.
 
@@ -81,14 +63,14 @@
         self._tenure_since_ms = 0
         self._acted_ms: int | None = None
         self._counter = counter
-        self._store = store
         self._cloud = cloud
         self._lease = lease
         self._give_up_ms = late_s * USAGE_GIVE_UP_FACTOR * 1000
-        self._recorded: dict[int, dict[str, int]] = {}
+        self._records = UsageRecords(store)
         self._proposed: dict[int, dict[str, int]] = {}
-        self._offset = 0
         self._read_token: int | None = None
+        # Monotonic time at which this host knew all records.
+        self._known_ms: int | None = None
         self._next_window = counter.find_window(start)
 
     async def step(self, token: int, now: Instant) -> None:
@@ -101,55 +83,49 @@
         # The records need to be read only once for each fencing token: only holders of
         # the duties write them, and the store rejects writes with lower tokens.
         if token != self._read_token:
-            if not await self._read_records():
+            first_window = self._find_first_window(now)
+            if not await self._records.read(token, first_window):
                 return
             self._read_token = token
             # A window is recorded only after the one before it was reported.
-            self._next_window = max([self._next_window, *self._recorded])
+            self._next_window = max([self._next_window, *self._records.counts])
+        self._known_ms = now.mono_ms
         while True:
             age_ms = now.wall_ms - self._counter.compute_end_ms(self._next_window)
             if age_ms < USAGE_SETTLE_S * 1000:
                 return
-            too_late = age_ms > self._give_up_ms
-            if not too_late and not await self._report(self._next_window, token):
+            is_due = age_ms <= self._give_up_ms and not self._is_lost(self._next_window)
+            if is_due and not await self._report(self._next_window, token):
                 return
             self._next_window += 1
 
-    async def _read_records(self) -> bool:
-        while True:
-            read = await self._store.read_records(Topic.USAGE, self._offset)
-            if isinstance(read, Err):
-                match read.err_value:
-                    case HistoryGone(first_offset) if first_offset != self._offset:
-                        # Earlier records have expired, or the store came back from an
-                        # older copy.
-                        self._offset = first_offset
-                        continue
-                logger.warning(
-                    "usage records not read",
-                    extra={"reason": describe_failure(read.err_value)},
-                )
-                return False
-            page = read.ok_value
-            for record in page.records:
-                self._offset = record.offset + 1
-                decoded = decode_msgpack(record.value, UsageRecord)
-                if isinstance(decoded, Err):
-                    logger.warning(
-                        "unreadable usage record",
-                        extra={
-                            "offset": record.offset,
-                            "reason": decoded.err_value.reason,
-                        },
-                    )
-                    continue
-                usage = decoded.ok_value
-                self._recorded.setdefault(usage.window, usage.counts)
-            if not page.records or self._offset >= page.end:
-                return True
+    def _find_first_window(self, now: Instant) -> int:
+        """Return the first window that nobody can have reported yet.
+
+        That is the next one if no other host has acted since this one knew all records,
+        otherwise the first one that has not settled.
+        """
+        sole_since_ms = self._lease.sole_since_ms
+        if (
+            self._known_ms is not None
+            and sole_since_ms is not None
+            and sole_since_ms <= self._known_ms
+        ):
+            return self._next_window
+        settled_at = now.plus_ms(-round(USAGE_SETTLE_S * 1000))
+        return self._counter.find_window(settled_at)
+
+    def _is_lost(self, window: int) -> bool:
+        if not self._records.is_lost(window):
+            return False
+        logger.warning(
+            "usage not reported: the store has lost what may have been reported",
+            extra={"window": window},
+        )
+        return True
 
     async def _report(self, window: int, token: int) -> bool:
-        counts = self._recorded.get(window)
+        counts = self._records.counts.get(window)
         if counts is None:
             # An append whose outcome is unknown may have been applied, so it is
             # repeated only with the same counts.
@@ -158,8 +134,7 @@
                 totals = self._counter.sum_window(window)
                 counts = {str(account): count for account, count in totals.items()}
                 self._proposed[window] = counts
-            record = msgspec.msgpack.encode(UsageRecord(window, counts))
-            appended = await self._store.append(Topic.USAGE, record, token)
+            appended = await self._records.append(window, counts, token)
             if isinstance(appended, Err):
                 logger.warning(
                     "usage not recorded",
@@ -171,7 +146,6 @@
                 if isinstance(appended.err_value, Fenced):
                     self._lease.note_refusal(token)
                 return False
-            self._recorded[window] = counts
         account_counts = {
             AccountId(account): count for account, count in counts.items()
         }
--- a/libs/gateway/tests/test_duties.py
+++ b/libs/gateway/tests/test_duties.py
@@ -13,6 +13,8 @@
     DutyAssignment,
     Fenced,
     HistoryGone,
+    KeyedPage,
+    KeyedRecord,
     Record,
     RecordPage,
     StoreUnreachable,
@@ -138,6 +140,13 @@
         self.first_offset = 0
         self.epoch = 0
         self.lose_answers = 0
+        self.era = 0
+        self.starts = {}
+
+    def restore(self, count):
+        """Come back from a copy with the first `count` records."""
+        self.era += 1
+        del self.records[count:]
 
     async def fence(self, topic, epoch):
         self.epoch = max(self.epoch, epoch)
@@ -151,7 +160,15 @@
             for number, value in enumerate(self.records)
             if number >= offset
         )
-        return Ok(RecordPage(records, len(self.records)))
+        return Ok(RecordPage(records, len(self.records), self.era))
+
+    async def read_newest(self, topic):
+        records = tuple(KeyedRecord(0, *item) for item in self.starts.items())
+        return Ok(KeyedPage(records, len(records), self.era))
+
+    async def write_keyed(self, topic, key, value, epoch=None):
+        self.starts[key] = value
+        return Ok(0)
 
     async def append(self, topic, value, epoch):
         if epoch < self.epoch:
@@ -268,6 +285,85 @@
     assert [window for window, _ in second.reports][-1] > first.reports[-1][0]
 
 
+async def test_window_whose_record_the_store_has_lost_is_reported_once():
+    """The next holder reported a window again, with other counts, as it had no record.
+
+    The store came back from a copy that lacked the record.
+    """
+    store, cloud = FakeStore(), FakeCloud()
+    store.era = 1
+    counter, task = make_task(store, cloud)
+    other_counter, other = make_task(store, cloud)
+    for ms in (4_000, 9_000, 14_000):
+        counter.count(ACCOUNT, at(ms))
+        await task.step(4, at(ms))
+    reported = [window for window, _ in cloud.reports]
+    store.restore(len(store.records) - 1)
+    # This host never heard of the requests at the other one.
+    for ms in (14_500, 19_500, 24_500):
+        other_counter.count(ACCOUNT, at(ms))
+        await other.step(5, at(ms))
+    windows = [window for window, _ in cloud.reports[len(reported) :]]
+    # The window before the lost one is repeated from its record.
+    assert set(windows) & set(reported) <= {reported[-2]}
+    assert cloud.reports[len(reported)] == cloud.reports[len(reported) - 2]
+    assert max(windows) > max(reported)
+
+
+async def test_holder_that_stays_records_again_what_the_store_has_lost():
+    """A later holder reported a window again whose record only the first one knew."""
+    store, first, second = FakeStore(), FakeCloud(), FakeCloud()
+    store.era = 1
+    counter, task = make_task(store, first)
+    for ms in (4_000, 9_000, 14_000):
+        counter.count(ACCOUNT, at(ms))
+        await task.step(4, at(ms))
+    recorded = list(store.records)
+    store.restore(0)
+    await task.step(5, at(14_900))
+    assert store.records == recorded
+    _, other = make_task(store, second)
+    await other.step(6, at(15_500))
+    assert second.reports == first.reports[-1:]
+
+
+@pytest.mark.parametrize(("away_ms", "is_reported"), [(2_500, True), (4_500, False)])
+async def test_holder_that_was_the_only_one_reports_what_was_due_meanwhile(
+    away_ms, is_reported
+):
+    """Guards against a missing report each time the store returns for a calm holder.
+
+    After a longer absence another host may have reported the window.
+    """
+    store, cloud, lease = FakeStore(), FakeCloud(), Lease(RETURN_WAIT_MS, TTL_MS)
+    store.era = 1
+    _, task = make_task(store, cloud, lease)
+    for ms in range(5_000, 12_600, 600):
+        lease.note_assignment(True, 4, at(ms), at(ms))
+        await task.step(4, at(ms))
+    reported = {window for window, _ in cloud.reports}
+    store.restore(0)
+    back_ms = 12_200 + away_ms
+    lease.note_assignment(True, 5, at(back_ms), at(back_ms))
+    await task.step(5, at(back_ms + 1_800))
+    due = task._counter.find_window(at(12_000)) - 1
+    assert due not in reported
+    assert (due in {window for window, _ in cloud.reports}) == is_reported
+
+
+async def test_next_holder_of_an_era_reports_what_the_first_one_left():
+    """Guards against windows that no holder reports after the store has returned."""
+    store, first, second = FakeStore(), FakeCloud(), FakeCloud()
+    store.era = 2
+    _, task = make_task(store, first)
+    _, other = make_task(store, second)
+    await task.step(4, at(9_000))
+    await other.step(5, at(24_000))
+    windows = [window for window, _ in second.reports]
+    assert len(windows) >= 2
+    assert windows[-1] == other._counter.find_window(at(21_000)) - 1
+
+
 async def test_a_fenced_host_reports_nothing():
     store, cloud = FakeStore(), FakeCloud()
     lease = make_lease()
