Try requests again during a planned stop that may have run already

Callers got 502 for requests that had been passed on before the signal, or in its first two seconds, and lost their upstream more than two seconds after it.

Cause: the check of planned stops was made before each attempt. A request that may have run cannot be refused as not run, so its caller got 502 instead of the answer of another upstream.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -95,8 +95,8 @@
 # The load balancer removes a host after two failed probes one second apart; until then
 # callers still open connections.
 LISTEN_AFTER_STOP_S = 2.5
-# Requests are timed out this long before the process exits, so that their callers get
-# an answer.
+# Requests that are accepted by their deadline during a planned stop end at least this
+# long before the process exits, so that their callers get an answer.
 ANSWER_MARGIN_MS = 200
 # The process exits this long before the end of `grace_s`, when it would be killed.
 STOP_MARGIN_S = 0.6
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -233,7 +233,7 @@
         Upstreams that the request was already sent to are not chosen again.
         """
         refused = self._check_suspicion(plan.fingerprints, now)
-        if not plan.is_response_begun:
+        if not plan.may_have_run:
             refused = refused or self.stop_check.check(plan, now)
         if refused is not None:
             return refused
