Let streams that have begun wait for an upstream and the retry budget

Callers saw streams broken off in the middle although they could have gone on a moment later: when an engine was lost, those beyond the retry budget of that second, and those for which no upstream took a request just then.

Cause: a refusal that sends other callers elsewhere at once also ended responses that had begun.

Such a stream waits up to 1.5 s, below the gap after which callers leave, and never beyond its deadline. The budget and the limits of upstreams hold as before. Evidence: two tests failed before (streams incomplete) and pass now; a third one guards against streams that are held open for nothing. Left: an attempt that an upstream turned away still counts against the attempts of a route, as the operator limits the upstreams that one request may be sent to.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch of requests: admission, attempts, retries and the final response."""
 
+import asyncio
 import functools
 
 from waxwingbarrow.core import Clock
@@ -36,6 +37,10 @@
 
 # With less time left than this, a failed request is not retried.
 MIN_RETRY_MS = 2.0
+# A stream that has begun waits this long for an upstream, or for the retry budget,
+# before it is broken off. Callers leave a stream after a gap of two seconds.
+CONTINUE_WAIT_MS = 1_500
+CONTINUE_INTERVAL_S = 0.05
 
 
 class Dispatcher:
@@ -131,7 +136,7 @@
                     error_response = outcome
                 case _:
                     pass
-            if not self._reserve_retry(plan, outcome):
+            if not await self._reserve_retry(plan, outcome):
                 return self._writer.end_failed(plan, outcome, error_response, responder)
 
     async def _serve_stream(self, plan: Plan, responder: Responder) -> str:
@@ -173,7 +178,7 @@
                     error_response = outcome
                 case _:
                     pass
-            if not self._reserve_retry(plan, outcome):
+            if not await self._reserve_retry(plan, outcome):
                 return self._writer.end_failed(plan, outcome, error_response, responder)
             splitter.resume()
 
@@ -201,18 +206,33 @@
         While engines are scarce, wait for capacity; see `CapacityGate`.
         """
         gate = self._planner.capacity_gate
+        until_ms = self._find_continue_until_ms(plan)
         while True:
-            chosen = self._planner.select_upstream(plan, self._clock.now())
+            now = self._clock.now()
+            chosen = self._planner.select_upstream(plan, now)
             if isinstance(chosen, Refused):
                 if gate is not None and await gate.wait(plan, chosen):
                     continue
-                return chosen
+                if now.mono_ms >= until_ms:
+                    return chosen
+                await asyncio.sleep(CONTINUE_INTERVAL_S)
+                continue
             upstream, _ = chosen
             is_permitted = await self._planner.acquire_permit(plan, upstream)
             is_usable = not upstream.gone and not self._fleet.is_evacuated(upstream)
             if is_permitted and is_usable:
                 return chosen
 
+    def _find_continue_until_ms(self, plan: Plan) -> int:
+        """Return until when a stream that has begun waits for its next attempt.
+
+        For any other request that is now: its caller can be sent elsewhere.
+        """
+        now = self._clock.now()
+        if not plan.is_response_begun:
+            return now.mono_ms
+        return min(now.mono_ms + CONTINUE_WAIT_MS, plan.deadline.mono_ms)
+
     def _is_overdue(self, plan: Plan) -> bool:
         return plan.deadline.mono_ms <= self._clock.now().mono_ms
 
@@ -220,10 +240,14 @@
         """Whether a request that may have run may be sent to another upstream."""
         return plan.route.is_repeatable and plan.has_attempts_left
 
-    def _reserve_retry(
+    async def _reserve_retry(
         self, plan: Plan, outcome: ResponseReceived | AttemptFailure
     ) -> bool:
-        """Return whether to try again; a retry of a sent request uses the budget."""
+        """Return whether to try again; a retry of a sent request uses the budget.
+
+        A stream that has begun waits for the budget.
+        """
+        until_ms = self._find_continue_until_ms(plan)
         now = self._clock.now()
         if plan.deadline.mono_ms - now.mono_ms < MIN_RETRY_MS:
             return False
@@ -241,4 +265,9 @@
             case _:
                 may_send = self._may_repeat(plan)
         service = self._planner.pick_service(plan)
-        return may_send and self._retry_budgets.try_spend(service, now)
+        while may_send and not self._retry_budgets.try_spend(service, now):
+            if now.mono_ms >= until_ms:
+                return False
+            await asyncio.sleep(CONTINUE_INTERVAL_S)
+            now = self._clock.now()
+        return may_send
