Take a topic that does not exist for an empty one of its era

Cause: the answer 404 to a listing left the old copy and its era in place, and messages stated offset 0 of the newest era for topics that are known only in an earlier one, so that peers considered themselves behind.

A listing of a topic that does not exist is empty and has an era; topics of earlier eras are left out of messages.

--- a/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -187,7 +187,7 @@
     """The platform's metadata store."""
 
     async def read_newest(self, topic: str) -> Result[KeyedPage, StoreFailure]:
-        """Return the newest record of each key."""
+        """Return the newest record of each key; none if the topic does not exist."""
         ...
 
     async def read_keyed(
--- a/libs/gateway/src/waxwingbarrow/gateway/duties/_usage_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/duties/_usage_records.py
@@ -10,7 +10,6 @@
     HistoryGone,
     Store,
     StoreFailure,
-    StoreRefused,
     Topic,
     decode_msgpack,
     describe_failure,
@@ -198,10 +197,6 @@
     async def _read_start(self, key: str) -> Result[EraStart | None, StoreFailure]:
         read = await self._store.read_newest(Topic.USAGE_ERAS)
         if isinstance(read, Err):
-            failure = read.err_value
-            if isinstance(failure, StoreRefused) and failure.status == 404:
-                # The topic does not exist until its first record is written.
-                return Ok(None)
             return read
         for record in read.ok_value.records:
             if record.key == key:
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
@@ -12,7 +12,6 @@
     HistoryGone,
     Store,
     StoreFailure,
-    StoreRefused,
     Topic,
     describe_failure,
 )
@@ -254,14 +253,6 @@
         replica = self._replicas[topic]
         read = await self._store.read_newest(topic)
         if isinstance(read, Err):
-            if (
-                isinstance(read.err_value, StoreRefused)
-                and read.err_value.status == 404
-            ):
-                # The topic does not exist until its first record is written.
-                replica.is_loaded = True
-                self._mark_confirmed(replica)
-                return True
             self._store_health.record_failure(topic, read.err_value)
             return False
         page = read.ok_value
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
@@ -105,12 +105,13 @@
 def list_end_offsets(replicas: Mapping[str, Replica]) -> tuple[int, dict[str, int]]:
     """Return the newest known era, and for each topic the offset of its end in it.
 
-    The offset is 0 for topics that are known only in an earlier era.
+    Topics that are known only in an earlier era are left out.
     """
     era = max((replica.position.era for replica in replicas.values()), default=0)
     return era, {
-        topic: replica.end if replica.position.era == era else 0
+        topic: replica.end
         for topic, replica in replicas.items()
+        if replica.position.era == era
     }
 
 
@@ -120,11 +121,7 @@
     Topics that are known only in an earlier era are left out.
     """
     era, ends = list_end_offsets(replicas)
-    known = {
-        topic: end
-        for topic, end in ends.items()
-        if replicas[topic].is_loaded and replicas[topic].position.era == era
-    }
+    known = {topic: end for topic, end in ends.items() if replicas[topic].is_loaded}
     return urlencode({**known, ERA_PARAMETER: era}).encode()
 
 
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
@@ -17,7 +17,6 @@
     KeyedRecord,
     Store,
     StoreFailure,
-    StoreRefused,
     Topic,
     decode_json,
     describe_failure,
@@ -79,9 +78,7 @@
     def _restore(self, read: Result[KeyedPage, StoreFailure]) -> bool:
         """Apply the records; return whether the store answered."""
         if isinstance(read, Err):
-            # The topic does not exist until its first record is written.
-            failure = read.err_value
-            return isinstance(failure, StoreRefused) and failure.status == 404
+            return False
         for record in read.ok_value.records:
             self._apply(record)
         return True
--- a/libs/gateway/tests/test_store_eras.py
+++ b/libs/gateway/tests/test_store_eras.py
@@ -146,3 +146,15 @@
     host.list_upstreams(2, 30, u1="4")
     host.wait(HOLD_MS)
     assert host.list_usable() == {"u1"}
+
+
+def test_hosts_do_not_fetch_a_topic_that_does_not_exist():
+    """Hosts fetched from each other for ever, as none could know more of the topic."""
+    network = Network(1, 3)
+    for host in network.hosts.values():
+        replica = host.replicas[Topic.OPERATOR]
+        replica.is_loaded, replica.position = True, Position(1, 40)
+        host.replicas[Topic.STATUS] = Replica()
+        host.replicas[Topic.STATUS].is_loaded = True
+    network.run(8)
+    assert sum(host.fetch_count for host in network.hosts.values()) == 0
