Hold what is held also when the store returns a second time

An upstream that had ended was used again after two returns of the store in a row.

Cause: the first listing replaces the copy, though its records are held back. The second one was compared with that copy, so that the same outdated records counted as known. Keys that are held stay so over the next return, and registrations of upstreams that this host does not know are held again. The new test failed before ({'u1', 'u2'} instead of {'u1'}).

--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -108,11 +108,20 @@
 
     def _hold_outdated(self, topic: str, change: Change, now: Instant) -> Change:
         """Hold the records that may be outdated; return the rest of a change."""
-        held = {
+        # A record that is held was never applied, so one that did not change since is as
+        # outdated as before.
+        held = self._held.list_held(topic)
+        held.update(
             record.key
             for record in change.changed
             if self._may_be_outdated(topic, record.key)
-        }
+        )
+        if topic == Topic.UPSTREAMS:
+            held.update(
+                record.key
+                for record in change.moved
+                if self._may_be_outdated(topic, record.key)
+            )
         kept_removals: tuple[str, ...] = ()
         if topic == Topic.UPSTREAMS:
             # Their registrations have lapsed, as in an outage of the store.
@@ -132,8 +141,12 @@
                 "held": len(held),
             },
         )
-        applied = [r for r in change.changed if r.key not in held]
-        return Change((*applied, *change.moved), kept_removals, True)
+        applied = [
+            record
+            for record in (*change.changed, *change.moved)
+            if record.key not in held
+        ]
+        return Change(tuple(applied), kept_removals, True)
 
     def _may_be_outdated(self, topic: str, key: str) -> bool:
         """Whether a record of a restored store may be older than what is known.
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_held_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_held_records.py
@@ -23,6 +23,10 @@
         """Hold a key."""
         self._until_ms[topic, key] = now.mono_ms + HOLD_MS
 
+    def list_held(self, topic: str) -> set[str]:
+        """Return the keys of a topic that are held."""
+        return {key for held_topic, key in self._until_ms if held_topic == topic}
+
     def release(self, topic: str, key: str) -> None:
         """Stop holding a key, as it was written in the new era."""
         self._until_ms.pop((topic, key), None)
--- a/libs/gateway/tests/test_store_eras.py
+++ b/libs/gateway/tests/test_store_eras.py
@@ -158,3 +158,17 @@
         host.replicas[Topic.STATUS].is_loaded = True
     network.run(8)
     assert sum(host.fetch_count for host in network.hosts.values()) == 0
+
+
+def test_upstream_that_ended_is_not_used_after_a_second_return():
+    """What was held was taken for known when the store returned once more."""
+    host = RestoredHost()
+    host.list_upstreams(1, 41, u1="5")
+    host.list_upstreams(2, 30, u1="4", u2="4")
+    host.wait(HOLD_MS // 2)
+    host.list_upstreams(3, 28, u1="4", u2="4")
+    assert host.list_usable() == {"u1"}
+    host.wait(HOLD_MS)
+    host.list_upstreams(4, 28, u1="4", u2="4")
+    host.wait(HOLD_MS)
+    assert host.list_usable() == {"u1"}
