Apply the state of a rollout that is read before its order

Cause: a state whose order was not known yet was dropped, and an order always began as running. The state is kept, and applies to the first order that this host learns. The test failed before (running, None).

--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -108,8 +108,8 @@
 
     def _hold_outdated(self, topic: str, change: Change, now: Instant) -> Change:
         """Hold the records that may be outdated; return the rest of a change."""
-        # A record that is held was never applied, so one that did not change since is as
-        # outdated as before.
+        # A record that is held was never applied, so one that did not change since is
+        # as outdated as before.
         held = self._held.list_held(topic)
         held.update(
             record.key
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
@@ -125,6 +125,8 @@
         self._rollouts: dict[ServiceName, Rollout] = {}
         self._withdrawn_versions: dict[ServiceName, set[VersionName]] = {}
         self._completed_versions: dict[ServiceName, VersionName] = {}
+        # State that the store holds for each service.
+        self._statuses: dict[ServiceName, RolloutStatus] = {}
 
     def apply_order(self, order: RolloutOrder, now: Instant) -> None:
         """Apply an order that was read from the store, unless a later one is known.
@@ -144,7 +146,7 @@
             ):
                 known.order = order
                 return
-        self._rollouts[order.service] = Rollout(order, now)
+        rollout = self._rollouts[order.service] = Rollout(order, now)
         self._withdrawn_versions.get(order.service, set()).discard(order.to_version)
         logger.info(
             "rollout ordered",
@@ -155,6 +157,10 @@
                 "order_offset": order.offset,
             },
         )
+        status = self._statuses.get(order.service)
+        if known is None and status is not None:
+            # This host has read the state before the order.
+            self._apply_to_rollout(rollout, status)
 
     def forget_recorded(self) -> None:
         """Forget which states the store holds, as it came back from an older copy.
@@ -166,17 +172,10 @@
 
     def apply_status(self, status: RolloutStatus) -> None:
         """Apply a state that was recorded in the store."""
+        self._statuses[status.service] = status
         rollout = self._rollouts.get(status.service)
-        matches = rollout is not None and rollout.order.to_version == status.to_version
-        if rollout is not None and matches:
-            if rollout.recorded is not status.state:
-                logger.info(
-                    "rollout state recorded",
-                    extra={"service": status.service, "state": status.state.value},
-                )
-            rollout.recorded = status.state
-            if status.state is not RolloutState.RUNNING:
-                self._finish(rollout, status.state, "recorded in the store")
+        if rollout is not None:
+            self._apply_to_rollout(rollout, status)
         match status.state:
             case RolloutState.DONE:
                 self._completed_versions[status.service] = status.to_version
@@ -184,6 +183,19 @@
                 withdrawn = self._withdrawn_versions.setdefault(status.service, set())
                 withdrawn.add(status.to_version)
 
+    def _apply_to_rollout(self, rollout: Rollout, status: RolloutStatus) -> None:
+        """Apply a recorded state to the rollout that it belongs to."""
+        if rollout.order.to_version != status.to_version:
+            return
+        if rollout.recorded is not status.state:
+            logger.info(
+                "rollout state recorded",
+                extra={"service": status.service, "state": status.state.value},
+            )
+        rollout.recorded = status.state
+        if status.state is not RolloutState.RUNNING:
+            self._finish(rollout, status.state, "recorded in the store")
+
     def find_rule(
         self, service: ServiceName, request_id: str, known: set[VersionName]
     ) -> VersionRule:
--- a/libs/gateway/tests/test_rollout_records.py
+++ b/libs/gateway/tests/test_rollout_records.py
@@ -4,11 +4,16 @@
 the new version, or a later holder of the duties records a withdrawal, no worker serves.
 """
 
+import attrs
 import pytest
 from result import Ok
 
 from waxwingbarrow.core import Instant, RouteName, ServiceName, VersionName
-from waxwingbarrow.gateway.base._model import RolloutOrder, RolloutState
+from waxwingbarrow.gateway.base._model import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
 from waxwingbarrow.gateway.duties._duties import Lease
 from waxwingbarrow.gateway.duties._duty_tasks import RolloutTask
 from waxwingbarrow.gateway.requests._rollouts import Rollouts
@@ -137,3 +142,28 @@
     host.count_requests()
     await host.task.step(1, at(13_900))
     assert [recorded.value for recorded in host.list_states()] == [state]
+
+
+def make_status(state, version=NEW):
+    return RolloutStatus(service=POOL, to_version=version, state=state)
+
+
+def test_a_state_that_is_read_before_its_order_applies():
+    """A host that started later took a completed rollout for a running one.
+
+    As the next holder of the duties it replaced the completion by a withdrawal.
+    """
+    rollouts = Rollouts(CanaryPolicy())
+    rollouts.apply_status(make_status(RolloutState.DONE))
+    rollouts.apply_order(ORDER, at(0))
+    (rollout,) = rollouts.list_rollouts()
+    assert (rollout.state, rollout.recorded) == (RolloutState.DONE, RolloutState.DONE)
+
+
+def test_an_order_that_is_repeated_is_not_ended_by_the_state_of_the_first_one():
+    """Guards against an order that ends at once for an earlier withdrawal."""
+    rollouts = Rollouts(CanaryPolicy())
+    rollouts.apply_order(ORDER, at(0))
+    rollouts.apply_status(make_status(RolloutState.WITHDRAWN))
+    rollouts.apply_order(attrs.evolve(ORDER, offset=9), at(1_000))
+    assert rollouts.is_running(POOL)
