Keep the final state of a rollout over a return of the store

A completion became a withdrawal for good when the older copy still held the withdrawal of an earlier order of the same version.

Cause: a final state that was read replaced the known one, whatever it was. A state from a restored store that contradicts a known final one is ignored now; the known one is recorded again. Both cases of the new test fail without the check (withdrawn, and running recorded).

--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -292,14 +292,14 @@
     def _apply_status_change(self, change: Change) -> None:
         for record in change.changed:
             with self._log_failure(record.key):
-                self._apply_status(record)
+                self._apply_status(record, change.is_restored)
 
-    def _apply_status(self, record: KeyedRecord) -> None:
+    def _apply_status(self, record: KeyedRecord, is_restored: bool) -> None:
         status = self._codec.read_status(record.value)
         if isinstance(status, Err):
             self._log_unreadable(record.key, status.err_value.reason)
         else:
-            self._rollouts.apply_status(status.ok_value)
+            self._rollouts.apply_status(status.ok_value, is_restored)
 
     def _apply_host_change(self, change: Change, now: Instant) -> None:
         for record in change.changed:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
@@ -80,6 +80,12 @@
     recorded: RolloutState | None = None
     reason: str = ""
 
+    def is_contradicted(self, status: RolloutStatus) -> bool:
+        """Whether a recorded state differs from the final one of this rollout."""
+        return self.state is not RolloutState.RUNNING and (
+            status.to_version != self.order.to_version or status.state is not self.state
+        )
+
     def sum_counts(self, is_new: bool) -> list[RouteCounts]:
         """Return the counts of all hosts for the new or the old version."""
         totals: dict[RouteName, _Counts] = {}
@@ -170,8 +176,18 @@
         for rollout in self._rollouts.values():
             rollout.recorded = None
 
-    def apply_status(self, status: RolloutStatus) -> None:
-        """Apply a state that was recorded in the store."""
+    def apply_status(self, status: RolloutStatus, is_restored: bool = False) -> None:
+        """Apply a state that was recorded in the store.
+
+        Parameters
+        ----------
+        is_restored : bool
+            Whether it is from a store that came back from an older copy. It does not
+            replace a final state that is known then: that one is recorded again.
+        """
+        known = self._rollouts.get(status.service)
+        if is_restored and known is not None and known.is_contradicted(status):
+            return
         self._statuses[status.service] = status
         rollout = self._rollouts.get(status.service)
         if rollout is not None:
--- a/libs/gateway/tests/test_rollout_records.py
+++ b/libs/gateway/tests/test_rollout_records.py
@@ -167,3 +167,17 @@
     rollouts.apply_status(make_status(RolloutState.WITHDRAWN))
     rollouts.apply_order(attrs.evolve(ORDER, offset=9), at(1_000))
     assert rollouts.is_running(POOL)
+
+
+@pytest.mark.parametrize("state", [RolloutState.WITHDRAWN, RolloutState.RUNNING])
+def test_final_state_is_not_replaced_by_that_of_an_older_copy(state):
+    """A completion became a withdrawal that had been recorded for an earlier order."""
+    rollouts = Rollouts(CanaryPolicy())
+    rollouts.apply_order(ORDER, at(0))
+    rollouts.apply_status(make_status(RolloutState.DONE))
+    rollouts.forget_recorded()
+    rollouts.apply_status(make_status(state), is_restored=True)
+    (rollout,) = rollouts.list_rollouts()
+    assert (rollout.state, rollout.recorded) == (RolloutState.DONE, None)
+    rule = rollouts.find_rule(POOL, "q", {OLD, NEW})
+    assert (rule.only, rule.excluded) == (NEW, frozenset())
