Write records of blocked prompt parts again as they were

A part counted as blocked for longer on hosts that started after a return of the store, and a part that was blocked no more came back with the older copy.

Cause: the record was made anew, with the present time and the age of before, and removed records were forgotten. The last value of each record is kept and written again, the empty one too; a write that fails is reported to the caller.

--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_crash_records.py
@@ -52,8 +52,9 @@
         self._tracker = tracker
         self._clock = clock
         self._changed = asyncio.Event()
-        # What this host has recorded, to record it again if the store loses it.
-        self._recorded: dict[str, PartLosses] = {}
+        # Value of the last record for each part, to write it again if the store loses
+        # it; empty for a part that is no longer blocked.
+        self._recorded: dict[str, bytes] = {}
         tracker.on_block_changed = self._changed.set
 
     async def run(self) -> None:
@@ -66,14 +67,16 @@
             for part, losses in self._tracker.take_unrecorded(self._clock.now()):
                 await self._write(part, losses)
 
-    async def record_again(self) -> None:
-        """Record the parts that this host has blocked once more.
+    async def record_again(self) -> bool:
+        """Write the records of this host once more; return whether the store took them.
 
         Called when the store came back from an older copy. A record that is not lost is
         replaced by the same one.
         """
-        for part, losses in list(self._recorded.items()):
-            await self._write(part, losses)
+        for part, value in list(self._recorded.items()):
+            if not await self._write_value(part, value):
+                return False
+        return True
 
     def _restore(self, read: Result[KeyedPage, StoreFailure]) -> bool:
         """Apply the records; return whether the store answered."""
@@ -102,10 +105,12 @@
     async def _write(self, part: str, losses: PartLosses | None) -> None:
         """Record a part that is blocked, or remove the record of one that is not."""
         value = b""
-        self._recorded.pop(part, None)
         if losses is not None:
-            self._recorded[part] = losses
             value = msgspec.json.encode(_Record(self._clock.now().wall_ms, losses))
+        self._recorded[part] = value
+        await self._write_value(part, value)
+
+    async def _write_value(self, part: str, value: bytes) -> bool:
         written = await self._store.write_keyed(Topic.CRASHES, part, value)
         if isinstance(written, Err):
             logger.warning(
@@ -115,3 +120,4 @@
                     "reason": describe_failure(written.err_value),
                 },
             )
+        return written.is_ok()
