Repeat what follows a return of the store until it has succeeded

After two returns in a row, or a failed write, a host was not registered for up to 35 s, and a registration of its earlier start in the copy counted as its own.

Cause: the second return was missed while the work after the first one went on, failures were not tried again, and only the key was compared. The era of the last return that was worked on is kept, the work is repeated until all of it has succeeded, and the registration is compared as a whole.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -522,12 +522,15 @@
 
     async def _follow_restores(self) -> None:
         """Write again what a store that came back from an older copy may lack."""
+        era = 0
         while True:
-            await self._store_health.wait_until_restored()
-            while not await self._follower.read(Topic.HOSTS, 0):
+            era = await self._store_health.wait_until_restored(era)
+            while not (
+                await self._follower.read(Topic.HOSTS, 0)
+                and await self._registrations.check(self._clock.now())
+                and await self._crash_recorder.record_again()
+            ):
                 await asyncio.sleep(RETRY_INTERVAL_S)
-            await self._registrations.check(self._clock.now())
-            await self._crash_recorder.record_again()
 
     async def _tick_loop(self) -> None:
         while True:
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_registrations.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_registrations.py
@@ -107,18 +107,32 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             await self.check(self._clock.now())
 
-    async def check(self, now: Instant) -> None:
-        """Remove the registrations of ended hosts once, and write a lost own one."""
+    async def check(self, now: Instant) -> bool:
+        """Remove the registrations of ended hosts once, and write a lost own one.
+
+        Returns
+        -------
+        bool
+            Whether this host is registered.
+        """
         registered = [HostId(host) for host in self._replica.records]
         for host in self._list_removable(registered, now):
             if await self._write(host, b""):
                 logger.info("host removed", extra={"removed": host})
                 self._members.forget_absent(host, now)
-        if self._replica.is_loaded and self._own.host not in registered:
-            await self._write_own()
+        if not self._replica.is_loaded:
+            return False
+        record = self._replica.records.get(self._own.host)
+        # An older copy may have the registration of an earlier start.
+        if record is not None and record.value == self._encode_own():
+            return True
+        return await self._write_own()
 
     async def _write_own(self) -> bool:
         """Write the registration of this host; return whether the store took it."""
+        return await self._write(self._own.host, self._encode_own())
+
+    def _encode_own(self) -> bytes:
         ip, port = self._own.address
         registration = HostRegistration(
             ip=ip,
@@ -127,7 +141,7 @@
             started_ms=self._own.started_ms,
             relay_mbps=self._own.relay_mbps,
         )
-        return await self._write(self._own.host, msgspec.json.encode(registration))
+        return msgspec.json.encode(registration)
 
     async def _write(self, host: HostId, value: bytes) -> bool:
         written = await self._store.write_keyed(Topic.HOSTS, host, value)
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_follower.py
@@ -54,6 +54,7 @@
         self.era: int | None = None
         self._regained = asyncio.Event()
         self._restored = asyncio.Event()
+        self._restored_era = 0
 
     @property
     def is_unreachable(self) -> bool:
@@ -83,6 +84,7 @@
         )
         self.recovered_at = self._clock.now()
         self._notify_waiting()
+        self._restored_era = era
         self._restored.set()
         self._restored = asyncio.Event()
 
@@ -94,9 +96,17 @@
         """Wait for an answer after a failed call, or for a new era."""
         await self._regained.wait()
 
-    async def wait_until_restored(self) -> None:
-        """Wait until this host learns that the store came back from an older copy."""
-        await self._restored.wait()
+    async def wait_until_restored(self, known_era: int) -> int:
+        """Wait until the store came back from an older copy; return the new era.
+
+        Parameters
+        ----------
+        known_era : int
+            Result of the last call; 0 at first. A return since then is not missed.
+        """
+        while self._restored_era <= known_era:
+            await self._restored.wait()
+        return self._restored_era
 
     def record_failure(self, topic: str, failure: StoreFailure) -> None:
         """Record that a call failed."""
--- a/libs/gateway/tests/test_follower.py
+++ b/libs/gateway/tests/test_follower.py
@@ -7,7 +7,7 @@
 import pytest
 from result import Err, Ok
 
-from waxwingbarrow.core import SystemClock
+from waxwingbarrow.core import ManualClock, SystemClock
 from waxwingbarrow.gateway.base._ports import (
     KeyedPage,
     KeyedRecord,
@@ -121,3 +121,22 @@
     async with asyncio.timeout(CONFIG_BOUND_S):
         while replicas[Topic.OPERATOR].end < 2:
             await asyncio.sleep(0.01)
+
+
+async def test_a_return_during_the_work_after_another_one_is_not_missed():
+    """What the second copy of the store lacked was not written again."""
+    health = StoreHealth(ManualClock())
+    for era in (1, 2):
+        health.note_era(era)
+    assert await health.wait_until_restored(0) == 2
+    health.note_era(3)
+    async with asyncio.timeout(1):
+        assert await health.wait_until_restored(2) == 3
+
+
+async def test_the_first_era_is_no_return():
+    health = StoreHealth(ManualClock())
+    health.note_era(4)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01):
+            await health.wait_until_restored(0)
