Let hosts that start after a return have the configuration in force

Cause: the other hosts kept their version, but gave their copy of the restored topic to their peers. They share the record in force as a topic of its own, ordered by its version, which exists only between hosts and only with a store that states its era. Ruled out: keeping the lost record in the copy of the operator's topic; the position of that copy says nothing about it.

--- a/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/_gateway.py
@@ -151,7 +151,13 @@
         )
         self._replicas = {
             topic: Replica()
-            for topic in (Topic.OPERATOR, Topic.UPSTREAMS, Topic.STATUS, Topic.HOSTS)
+            for topic in (
+                Topic.OPERATOR,
+                Topic.UPSTREAMS,
+                Topic.STATUS,
+                Topic.HOSTS,
+                Topic.CONFIGURATION,
+            )
         }
         self._members = Members(host)
         self._fleet = Fleet(bounds.drain_ms, bounds.evacuation_ms)
--- a/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -172,6 +172,9 @@
         Usage of each time window; a plain topic, the others are keyed.
     USAGE_ERAS
         First usage window of each era of the store.
+    CONFIGURATION
+        The configuration in force, with its version as offset; only between hosts. A
+        store that came back from an older copy may have an earlier version.
     """
 
     OPERATOR = "operator"
@@ -181,6 +184,7 @@
     CRASHES = "crashes"
     USAGE = "usage"
     USAGE_ERAS = "usage_eras"
+    CONFIGURATION = "configuration"
 
 
 class Store(Protocol):
--- a/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/configuration/_change_applier.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import attrs
 from result import Err
 
 from waxwingbarrow.core import Clock, DataCentre, HostId, Instant, UpstreamId
@@ -70,6 +71,8 @@
         self._count_hosts = count_hosts
         self._evacuation_orders = EvacuationOrders(fleet, planner)
         self._held = HeldRecords()
+        # Record of the configuration in force, with its version as offset.
+        self._in_force: KeyedRecord | None = None
 
     def apply_listings(self, pages: dict[str, KeyedPage]) -> None:
         """Apply a peer's listings of those topics in which it is ahead."""
@@ -180,6 +183,10 @@
         match topic:
             case Topic.OPERATOR:
                 self._apply_operator_change(change, now)
+                self._share_in_force()
+            case Topic.CONFIGURATION:
+                for record in change.changed:
+                    self._apply_configuration(record, now)
             case Topic.UPSTREAMS:
                 self._apply_upstream_change(change, now)
             case Topic.STATUS:
@@ -205,6 +212,18 @@
                     case _:
                         pass
 
+    def _share_in_force(self) -> None:
+        """Let other hosts fetch the configuration in force.
+
+        A host that starts after the store came back from an older copy may find an
+        earlier version there. Without eras the store's topic always has the newest one.
+        """
+        era = self._replicas[Topic.OPERATOR].position.era
+        shared = self._replicas.get(Topic.CONFIGURATION)
+        if era and shared is not None and self._in_force is not None:
+            page = KeyedPage((self._in_force,), self._in_force.offset, era)
+            shared.apply_listing(page)
+
     def _apply_rollout(self, record: KeyedRecord, now: Instant) -> None:
         era = self._replicas[Topic.OPERATOR].position.era
         order = self._codec.read_rollout(
@@ -225,6 +244,7 @@
         if table and table.configuration.version >= configuration.version:
             return
         self._planner.table = RouteTable(configuration)
+        self._in_force = attrs.evolve(record, offset=configuration.version)
         self._fleet.notices.cold.set_services(configuration.services)
         hosts = self._count_hosts(now)
         self._quotas.set_accounts(configuration.accounts, hosts, now)
--- a/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/replication/_replica_fetcher.py
@@ -15,6 +15,7 @@
     KeyedPage,
     KeyedRecord,
     Position,
+    Topic,
     parse_decimal,
 )
 from waxwingbarrow.gateway.replication._replica import Replica
@@ -74,6 +75,8 @@
     """
     listing: dict[str, object] = {}
     for topic, replica in replicas.items():
+        if topic == Topic.CONFIGURATION and _is_in_store(replica, replicas):
+            continue
         if replica.is_loaded and (
             topic not in known or replica.position > known[topic]
         ):
@@ -84,6 +87,15 @@
     return zlib.compress(msgspec.msgpack.encode(listing), 1)
 
 
+def _is_in_store(in_force: Replica, replicas: Mapping[str, Replica]) -> bool:
+    """Whether the listing of the operator's topic has the configuration in force."""
+    operator = replicas.get(Topic.OPERATOR)
+    return operator is not None and all(
+        key in operator.records and operator.records[key].value == record.value
+        for key, record in in_force.records.items()
+    )
+
+
 def decode_listing(data: bytes) -> dict[str, KeyedPage]:
     """Deserialize a listing of a peer's replicas into a page for each topic.
 
