--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_planner.py
@@ -275,15 +275,14 @@
             plan.expected_start_ms = estimate_start_ms(
                 at_normal_speed, work, self._policy
             )
-        remaining_ms = plan.deadline.mono_ms - now.mono_ms
+        latest_ms = (plan.deadline.mono_ms - now.mono_ms) * LATEST_START_FRACTION
         if self.capacity_gate is not None and engine is not None and views is not None:
-            latest_ms = remaining_ms * LATEST_START_FRACTION
             held = self.capacity_gate.check(
                 plan, service, placement, views, latest_ms, now
             )
             if held is not None:
                 return held
-        late_ms = placement.start_ms - remaining_ms * LATEST_START_FRACTION
+        late_ms = placement.start_ms - latest_ms
         if late_ms > 0 and not plan.is_response_begun:
             return Refused(503, "cannot start in time", max(late_ms / 1000, 0.1))
         upstream = self._fleet.upstreams[placement.view.upstream]
