--- a/libs/gateway/tests/test_store_eras.py
+++ b/libs/gateway/tests/test_store_eras.py
@@ -89,6 +89,7 @@
         replica = host.replicas[Topic.OPERATOR]
         replica.is_loaded, replica.position = True, Position(1, 40)
     network.run(6)
+    assert not any(host.fetch_count for host in network.hosts.values())
     ahead = [h for h in network.hosts.values() if h.peers._is_relay] or list(
         network.hosts.values()
     )[:1]
