Log whether a stream ended with its connection, and the state of its move

The record of seven streams that ended early as complete does not tell whether the move of their run was still under way, had succeeded or had failed when the connection was closed: the attempt is logged as a status in each case.

Ruled out: a log line of its own for each stream without length, which would double the lines of deployments that have many of them.

Before: "attempts": ["i-1: 200"]; after: ["i-1: 200 (ended with the connection, move under way)"]. Behaviour is unchanged.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_moves.py
@@ -65,12 +65,24 @@
         None if the move failed.
     advice_source : AdviceSource or None
         Where the advice that the attempt follows comes from, if it follows one.
+    ends_with_connection : bool
+        Whether only the end of the connection marks the end of the response.
     """
 
     plan: Plan = attrs.field(kw_only=True)
     events: int = 0
     move: asyncio.Task[Moved | None] | None = None
     advice_source: AdviceSource | None = None
+    ends_with_connection: bool = False
+
+    def describe_end(self) -> str:
+        """Return how a complete response ended, for the log; empty for a framed one."""
+        if not self.ends_with_connection:
+            return ""
+        if self.move is None:
+            return " (ended with the connection)"
+        state = "move ended" if self.move.done() else "move under way"
+        return f" (ended with the connection, {state})"
 
 
 def build_stream_state(
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_outcomes.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_outcomes.py
@@ -144,6 +144,8 @@
                 failed = head.status >= 500
                 self._fleet.record(upstream, failed, now)
                 result = str(head.status)
+                if job is not None:
+                    result += job.describe_end()
             case NotSent(reason):
                 self._fleet.record_unreachable(upstream, now)
                 if outcome.refused:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
@@ -115,6 +115,7 @@
         claim: Callable[[], None] | None,
     ) -> ResponseReceived | AttemptFailure:
         channel = response.channel
+        job.ends_with_connection = channel.ends_with_connection
         is_complete = False
         try:
             if responder.started and not is_event_stream(response.head):
