Ask a leaving upstream whether it runs before its stream counts as complete

Found by looking for the cause of the stopped streams elsewhere: a completion that this system records stops the upstreams of the version before at once, and upstreams that it orders away end after a while. A stream without length or chunks ends with its connection then too, after a whole event, and was given to its caller as complete.

Such a stream now counts as complete only if its upstream still runs: it is asked for its state, on a new connection. An answer proves that the upstream has closed the stream of its own accord; one of another process at the same address does not. Otherwise the stream is broken off, or goes on elsewhere if it may be resumed. The call is made only for upstreams that are to end: gone, leaving, or of a version that a rollout may have stopped. While a rollout is undecided here another host may have completed it already, so that counts too.

Ruled out: to ask after each stream without length (a call for each, although nothing is to end its upstream), and to compare the end with the time at which this host learned of a completion, which may be later than the stop.

--- a/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/base/_ports.py
@@ -390,6 +390,17 @@
         """
         ...
 
+    def write_state_query(self) -> tuple[bytes, Headers]:
+        """Return path and headers of the call that asks an upstream for its state."""
+        ...
+
+    def read_process_start(self, body: bytes) -> int | None:
+        """Return the wall time in ms at which the process of an upstream started.
+
+        None if its state does not say so.
+        """
+        ...
+
     def write_response(self, head: ResponseHead) -> Headers:
         """Return the headers to pass on to the caller."""
         ...
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -18,6 +18,7 @@
 from waxwingbarrow.gateway.requests._plans import Plan, Refused
 from waxwingbarrow.gateway.requests._retry_budgets import RetryBudgets
 from waxwingbarrow.gateway.requests._rollouts import Rollouts
+from waxwingbarrow.gateway.requests._run_ends import RunEnds
 from waxwingbarrow.gateway.requests._streams import StreamExchange
 from waxwingbarrow.gateway.requests._usage import UsageCounter
 from waxwingbarrow.gateway.upstreams import (
@@ -78,7 +79,8 @@
             reporter,
         )
         connect = ConnectPolicy(hedging.fast_connect)
-        self._streams = StreamExchange(codec, clock, recorder, connect)
+        run_ends = RunEnds(codec, clock, fleet, rollouts)
+        self._streams = StreamExchange(codec, clock, recorder, connect, run_ends)
         self._hedger = Hedger(
             hedging,
             planner,
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
@@ -364,6 +364,18 @@
         rollout = self._rollouts.get(service)
         return rollout is not None and rollout.state is RolloutState.RUNNING
 
+    def may_be_stopped(self, service: ServiceName, version: VersionName) -> bool:
+        """Return whether the platform may stop the upstreams of a version by now.
+
+        It stops those of all other versions when a completion is recorded, which this
+        host may learn later.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is not None and rollout.state is RolloutState.RUNNING:
+            return version != rollout.order.to_version
+        done = self._completed_versions.get(service)
+        return done is not None and version != done
+
     def find_stopping_versions(
         self, service: ServiceName, known: set[VersionName]
     ) -> frozenset[VersionName]:
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
@@ -12,7 +12,7 @@
 from waxwingbarrow.gateway.requests._moves import PlannedJob
 from waxwingbarrow.gateway.requests._outcomes import AttemptRecorder
 from waxwingbarrow.gateway.requests._plans import Plan
-from waxwingbarrow.gateway.requests._run_ends import find_stop
+from waxwingbarrow.gateway.requests._run_ends import RunEnds, find_stop
 from waxwingbarrow.gateway.upstreams import (
     EVENT_END,
     AttemptFailure,
@@ -44,11 +44,13 @@
         clock: Clock,
         recorder: AttemptRecorder,
         connect: ConnectPolicy,
+        run_ends: RunEnds,
     ) -> None:
         self._codec = codec
         self._clock = clock
         self._recorder = recorder
         self._connect = connect
+        self._run_ends = run_ends
 
     async def attempt(
         self,
@@ -144,9 +146,9 @@
                 # An upstream that crashes closes its connections like one that is done.
                 return ConnectionLost("closed before the first event")
             if channel.ends_with_connection:
-                stop = await find_stop(job, self._clock)
-                if stop is not None:
-                    return stop
+                cause = await self._run_ends.find_cause(job, upstream)
+                if cause is not None:
+                    return cause
             if not responder.started:
                 if claim is not None:
                     claim()
