Do not count upstreams that a completed rollout stops as crashed

A completion that this system records ends the upstreams of the version before at once. Their lost requests were recorded as those of crashed upstreams: a request that was lost at two of them, the second time as its retry, is then refused at all hosts for a minute, and a prompt part that three of them were about to answer is blocked.

Such losses are left out, like those of upstreams that leave; the check is made again before the crash is recorded, as a host may learn of the completion after the loss.

Ruled out: to leave out losses while a rollout is undecided, which would let a request that does crash upstreams go on to crash those of the old version.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_outcomes.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_outcomes.py
@@ -51,7 +51,9 @@
         self._metrics = metrics
         self._retry_budgets = retry_budgets
         self._reporter = reporter
-        self._crash_checker = CrashChecker(crash_tracker, fleet, clock)
+        self._crash_checker = CrashChecker(
+            crash_tracker, fleet, clock, rollouts.is_stopped
+        )
 
     def start_job(
         self, plan: Plan, upstream: Upstream, cached_tokens: int, now: Instant
@@ -149,7 +151,7 @@
             case NotSent(reason):
                 self._fleet.record_unreachable(upstream, now)
                 if outcome.refused:
-                    self._crash_tracker.note_crash(name, upstream.incarnation, now)
+                    self._crash_checker.note_refusal(upstream, now)
                 result = f"not sent ({reason})"
             case NotRun(status):
                 upstream.record(True, now)
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_rollouts.py
@@ -373,8 +373,12 @@
         rollout = self._rollouts.get(service)
         if rollout is not None and rollout.state is RolloutState.RUNNING:
             return version != rollout.order.to_version
+        return self.is_stopped(service, version)
+
+    def is_stopped(self, service: ServiceName, version: VersionName) -> bool:
+        """Return whether a completed rollout stops the upstreams of a version."""
         done = self._completed_versions.get(service)
-        return done is not None and version != done
+        return done is not None and version != done and not self.is_running(service)
 
     def find_stopping_versions(
         self, service: ServiceName, known: set[VersionName]
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_run_ends.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_run_ends.py
@@ -85,11 +85,8 @@
         While a rollout is undecided here, another host may have completed it.
         """
         entry = upstream.entry
-        return (
-            upstream.gone
-            or entry.leaving
-            or self._fleet.notices.is_leaving(upstream.process)
-            or self._rollouts.may_be_stopped(entry.service, entry.version)
+        return self._fleet.is_leaving(upstream) or self._rollouts.may_be_stopped(
+            entry.service, entry.version
         )
 
     async def _is_running(self, upstream: Upstream) -> bool:
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_fleet.py
@@ -182,6 +182,14 @@
             self._mark_leaving(known, None, now)
             self._discard(known, "upstream removed")
 
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is known to end, or is no longer registered."""
+        return (
+            upstream.gone
+            or upstream.entry.leaving
+            or self.notices.is_leaving(upstream.process)
+        )
+
     def _discard(self, upstream: Upstream, message: str) -> None:
         upstream.gone = True
         upstream.pool.close()
