--- a/libs/gateway/tests/test_caller_limits.py
+++ b/libs/gateway/tests/test_caller_limits.py
@@ -262,3 +262,21 @@
         running.server.close_expired(running.now_ms)
         await asyncio.sleep(0.1)
         assert not running.server.connections
+
+
+async def test_bytes_that_wait_for_a_turn_are_charged():
+    """Connections that waited for their first turn held 110 kB each without charge."""
+    async with serve(memory=CallerMemory(MIB)) as running:
+        server = running.server
+        # Another body is always due before those of the test.
+        server.turns.add(CountingTaker(server.turns, []))
+        server.turns._run_next = lambda: None
+        head = REQUEST.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        data = head + b"10000\r\n" + b"x" * 65_536 + b"\r\n10000\r\n"
+        for _ in range(40):
+            await running.connect(data)
+        waiting_bytes = sum(len(item._waiting) for item in server.connections)
+        assert waiting_bytes <= MIB
+        assert server.memory.total_bytes <= MIB
+        del server.turns._run_next
+        server.turns._queue.clear()
