Copy small parts of upstream responses together

A response was kept as a list of its parts, of which the payload alone was counted. A part of 2 bytes takes about 50, and each read of 256 KiB brings 37,000 of them before the reader runs, so several upstreams that respond at once filled a host below every limit. Parts under 4 KiB are now appended to one buffer, as for bodies of callers. Parts of at least that size are still kept as they are, so large responses are not copied once more.

One buffer for the whole exchange was ruled out: it copies every response twice.

--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
@@ -34,6 +34,8 @@
 MIN_IDLE_TIMEOUT_S = 0.5
 # Reading from the socket pauses while more of a body than this is unread.
 MAX_BUFFERED_BYTES = 524_288
+# Parts of at least this size are kept as they are; a part takes about 50 bytes more.
+MIN_PART_BYTES = 4_096
 
 
 class ChannelError(Exception):
@@ -84,15 +86,15 @@
     ----------
     is_expected : callable
         Returns whether the head of a response belongs to the request.
-    chunks : deque of bytes
-        Parts of the body that were received and not read yet.
+    chunks : deque of bytes or bytearray
+        Parts of the body that were received and not read yet; see `add_part`.
     complete : bool
         Whether the whole response was received.
     """
 
     is_expected: Callable[[ResponseHead], bool]
     head: ResponseHead | None = None
-    chunks: deque[bytes] = attrs.Factory(deque)
+    chunks: deque[bytes | bytearray] = attrs.Factory(deque)
     complete: bool = False
     error: BrokenError | None = None
     buffered_bytes: int = 0
@@ -100,6 +102,18 @@
     body_bytes: int = 0
     skipped_responses: int = 0
 
+    def add_part(self, part: bytes) -> None:
+        """Add a part of the body; small ones are copied together to save memory."""
+        chunks = self.chunks
+        if not chunks or len(part) >= MIN_PART_BYTES:
+            chunks.append(part)
+        elif isinstance(chunks[-1], bytearray):
+            chunks[-1] += part
+        else:
+            chunks.append(bytearray(part))
+        self.buffered_bytes += len(part)
+        self.body_bytes += len(part)
+
 
 class Channel(asyncio.Protocol):
     """A connection that carries one request and its response at a time.
@@ -236,9 +250,7 @@
         exchange = self._exchange
         if self._is_skipping or exchange is None:
             return
-        exchange.chunks.append(body)
-        exchange.buffered_bytes += len(body)
-        exchange.body_bytes += len(body)
+        exchange.add_part(body)
         if exchange.buffered_bytes > MAX_BUFFERED_BYTES and self._transport is not None:
             self._paused = True
             self._transport.pause_reading()
