Give a process that stops time to close its port before it is asked

Found in the review of the stopped streams, each shown by a test: - A process that stops may close its connections before its port, and then still answered the call for its state; a part was complete again. It is now asked 0.1 s after the end of the stream. - A reset of that call counted as the end of the upstream, so whole streams of busy upstreams were broken off. After a reset it is asked once more; an upstream that resets again has its port open, one that ended refuses. - The call could go on after the request's deadline; it ends with it now. - A move that was cancelled before it was sent was looked at a second time if the upstream had ended too. That raised, and dropped the request without a log line or another attempt.

Ruled out: to ask at once and believe only a refusal, which the first case shows to be wrong.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_run_ends.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_run_ends.py
@@ -13,6 +13,7 @@
 from waxwingbarrow.gateway.requests._moves import PlannedJob
 from waxwingbarrow.gateway.requests._rollouts import Rollouts
 from waxwingbarrow.gateway.upstreams import (
+    BrokenError,
     ChannelError,
     ChannelPool,
     ConnectionLost,
@@ -22,9 +23,12 @@
     compute_timeout_s,
 )
 
+# A process that stops closes its connections and its port within milliseconds, in any
+# order, so one that still listens after this time has closed a stream by itself.
+STOP_TIME_S = 0.1
 # An upstream that runs answers within milliseconds. Callers leave a stream after a gap
 # of two seconds.
-STATE_QUERY_TIMEOUT_S = 1.0
+STATE_QUERY_TIMEOUT_S = 0.6
 
 
 async def find_stop(job: PlannedJob, clock: Clock) -> Moved | ConnectionLost | None:
@@ -37,7 +41,7 @@
         has not stopped it.
     """
     move = job.move
-    if move is None:
+    if move is None or move.cancelled():
         return None
     if not (job.is_move_sent or move.done()):
         move.cancel()
@@ -72,10 +76,16 @@
     ) -> Moved | ConnectionLost | None:
         """Return what ended a stream before its last event, or None if nothing did."""
         stop = await find_stop(job, self._clock)
-        if stop is not None or not self._may_be_stopped(upstream):
+        if stop is not None:
             return stop
+        return await self.find_upstream_end(job, upstream)
+
+    async def find_upstream_end(
+        self, job: PlannedJob, upstream: Upstream
+    ) -> ConnectionLost | None:
+        """Return whether the end of an upstream that is to end has ended a response."""
         # An upstream that still runs has closed the connection of its own accord.
-        if await self._is_running(upstream):
+        if not self._may_be_stopped(upstream) or await self.is_running(job, upstream):
             return None
         return ConnectionLost("its upstream, which is to end, has ended")
 
@@ -89,24 +99,39 @@
             entry.service, entry.version
         )
 
-    async def _is_running(self, upstream: Upstream) -> bool:
-        """Ask the process that sent the stream for its state."""
+    async def is_running(self, job: PlannedJob, upstream: Upstream) -> bool:
+        """Ask the process that sent a response for its state."""
+        left_s = compute_timeout_s(job.plan.deadline, self._clock.now())
+        try:
+            async with asyncio.timeout(
+                min(STOP_TIME_S + STATE_QUERY_TIMEOUT_S, left_s)
+            ):
+                await asyncio.sleep(STOP_TIME_S)
+                try:
+                    return await self._query_state(upstream)
+                except BrokenError:
+                    # A busy upstream resets connections, and one that ends those that
+                    # it has not accepted yet; then it refuses further ones.
+                    await asyncio.sleep(STOP_TIME_S)
+                    return await self._query_state(upstream)
+        except BrokenError:
+            return True
+        except (ChannelError, TimeoutError):
+            return False
+
+    async def _query_state(self, upstream: Upstream) -> bool:
         entry = upstream.entry
         path, headers = self._codec.write_state_query()
         request = write_request_head(b"GET", path, headers)
         # The pool of an upstream is closed when its registration is removed.
         pool = ChannelPool(entry.host, entry.port, memory=self._fleet.body_memory)
+        channel = await pool.acquire(self._clock.now().mono_ms / 1000)
         try:
-            async with asyncio.timeout(STATE_QUERY_TIMEOUT_S):
-                channel = await pool.acquire(self._clock.now().mono_ms / 1000)
-                try:
-                    channel.send(request, lambda head: True)
-                    await channel.read_head()
-                    body = await channel.read_body()
-                finally:
-                    channel.close()
-        except (ChannelError, TimeoutError):
-            return False
+            channel.send(request, lambda head: True)
+            await channel.read_head()
+            body = await channel.read_body()
+        finally:
+            channel.close()
         started_ms = self._codec.read_process_start(body)
         if started_ms is None or not entry.process_started_ms:
             return True
