Do not take a body without length for complete when its upstream has ended

Responses that are read as a whole had the fault of the stopped streams as well (found in the review): a body without length or chunks that was cut by the end of an upstream that leaves, or that a completed rollout stops, reached its caller as a complete 200. The same check is made for them now; a request that may not be repeated gets 502, another one goes to another upstream.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_buffered.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_buffered.py
@@ -5,6 +5,7 @@
 from waxwingbarrow.gateway.requests._connecting import ConnectPolicy
 from waxwingbarrow.gateway.requests._outcomes import AttemptRecorder
 from waxwingbarrow.gateway.requests._plans import Plan
+from waxwingbarrow.gateway.requests._run_ends import RunEnds
 from waxwingbarrow.gateway.upstreams import (
     AttemptFailure,
     Moved,
@@ -31,11 +32,13 @@
         clock: Clock,
         recorder: AttemptRecorder,
         connect: ConnectPolicy,
+        run_ends: RunEnds,
     ) -> None:
         self._codec = codec
         self._clock = clock
         self._recorder = recorder
         self._connect = connect
+        self._run_ends = run_ends
 
     async def attempt(
         self, plan: Plan, upstream: Upstream, placement: Placement
@@ -69,7 +72,11 @@
             self._recorder.note_statements(upstream, outcome)
             if isinstance(outcome, ResponseStarted):
                 self._recorder.note_execution_start(plan)
+                ends_with_connection = outcome.channel.ends_with_connection
                 outcome = await read_response(outcome, upstream, deadline, self._clock)
+                if ends_with_connection and isinstance(outcome, ResponseReceived):
+                    end = await self._run_ends.find_upstream_end(job, upstream)
+                    outcome = end or outcome
         finally:
             upstream.jobs.discard(job)
         self._recorder.record_outcome(plan, upstream, outcome, started)
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_dispatch.py
@@ -89,7 +89,7 @@
             recorder,
             retry_budgets,
             metrics,
-            BufferedExchange(codec, clock, recorder, connect),
+            BufferedExchange(codec, clock, recorder, connect, run_ends),
             self._streams,
         )
         self._writer = ResponseWriter(planner, codec, clock, metrics)
--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
@@ -94,9 +94,15 @@
                     )
                 else:
                     self._recorder.note_execution_start(plan)
+                    job.ends_with_connection = outcome.channel.ends_with_connection
                     outcome = await read_response(
                         outcome, upstream, plan.deadline, self._clock
                     )
+                    if job.ends_with_connection and isinstance(
+                        outcome, ResponseReceived
+                    ):
+                        end = await self._run_ends.find_upstream_end(job, upstream)
+                        outcome = end or outcome
             if isinstance(outcome, ConnectionLost):
                 outcome = await find_stop(job, self._clock) or outcome
         finally:
