Reject responses with a status outside 100 to 599

An upstream's response with status 600 or 999 reached the caller as an answer with the upstream's signature. The channel took every status below 200 for informational and every other one for an answer; the parser accepts any three digits. After 000 or 099 with a length the next response was awaited until the deadline. X-Not-Executed was believed in such a response, so that the caller got a refusal although the request may have run.

Such a status, and 101, which no request asks for, now breaks the attempt at once: it may have run, is sent again where the route allows that, and is 502 otherwise. Other informational responses are skipped as before.

Ruled out: misspelled statuses and contradictory lengths reach nobody, as the parser rejects them; 101 was 502 at once already; and streams that have begun were broken off already.

--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
@@ -23,6 +23,7 @@
     BodyBudget,
     OversizedError,
     check_overhead,
+    check_status,
 )
 
 # An idle connection is dropped this long before the upstream's own idle timeout; a
@@ -227,7 +228,7 @@
     def on_headers_complete(self) -> None:
         exchange = self._exchange
         status = self._parser.get_status_code()
-        if status < 200 or self._is_skipping or exchange is None:
+        if check_status(status) or self._is_skipping or exchange is None:
             self._is_skipping = True
             if exchange is not None:
                 exchange.skipped_responses += 1
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_response_bounds.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_response_bounds.py
@@ -8,6 +8,9 @@
 # Framing takes several times the size of a body that arrives in chunks of a few bytes.
 OVERHEAD_PER_BODY_BYTE = 16
 MAX_HEADERS = 256
+MIN_STATUS = 100
+MAX_STATUS = 599
+SWITCHING_PROTOCOLS = 101
 # Informational responses and late responses to earlier requests in one exchange.
 MAX_SKIPPED_RESPONSES = 16
 # A body that is read as a whole. The largest are replicas of a configuration.
@@ -35,6 +38,10 @@
     """A response exceeds a bound; the message names the bound."""
 
 
+class InvalidStatusError(Exception):
+    """A status that no response can have; the message names the status."""
+
+
 def check_overhead(received_bytes: int, body_bytes: int) -> None:
     """Check the bytes of an exchange that are not part of the body.
 
@@ -48,3 +55,17 @@
         raise OversizedError(
             f"more than {allowed_bytes} bytes besides the body of the response"
         )
+
+
+def check_status(status: int) -> bool:
+    """Return whether the response with this status is informational.
+
+    Raises
+    ------
+    InvalidStatusError
+        The status is out of the range of HTTP, or announces another protocol, which no
+        request asks for.
+    """
+    if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_PROTOCOLS:
+        raise InvalidStatusError(f"no response has the status {status:03d}")
+    return status < 200
