Reject impossible statuses in the HTTP client of the daemon

Found by looking for the cause of the odd statuses elsewhere. aiosonic reads the status as any number of digits and as a number, so `0200` counted as a success and 000 and 600 as answers. The session now takes three digits from 100 to 599 only; anything else is a failure after which the request may have run, like other malformed responses.

--- a/libs/platform/src/waxwingbarrow/platform/_http.py
+++ b/libs/platform/src/waxwingbarrow/platform/_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import re
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 from urllib.parse import ParseResult
@@ -22,6 +23,8 @@
 # is written while the server closes is lost without a response.
 MAX_IDLE_MS = 2_000
 MAX_DESCRIBED_BODY_BYTES = 200
+# Three digits from 100 to 599.
+STATUS = re.compile("[1-5][0-9]{2}")
 # Raised by aiosonic and asyncio when a connection fails or a response is malformed.
 # ValueError and EOFError come from a chunk header or a body that ends early.
 EXCHANGE_ERRORS = (AiosonicError, OSError, EOFError, ValueError)
@@ -255,6 +258,7 @@
             timeouts=NO_TIMEOUTS,
         )
         try:
+            _require_status(response)
             _require_stated_length(response)
             yield HttpStream(response)
         finally:
@@ -265,6 +269,13 @@
         await self._client.aclose()
 
 
+def _require_status(response: Any) -> None:
+    """Reject a status that no response has; aiosonic reads any number of digits."""
+    code = response.response_initial["code"]
+    if not STATUS.fullmatch(code):
+        raise HttpParsingError(f"no response has the status {code[:8]}")
+
+
 def _require_stated_length(response: Any) -> None:
     """Reject truncated headers, which aiosonic takes for a response without a body."""
     named = response.chunked or "content-length" in response.headers
--- a/libs/platform/tests/test_http.py
+++ b/libs/platform/tests/test_http.py
@@ -146,6 +146,10 @@
     "cut chunk": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
     "bad chunk": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
     "not HTTP": b"hello\r\n\r\n",
+    # Guards against a status that no response has and that is taken for an answer.
+    "status of zeros": b"HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\n{}",
+    "status above the range": b"HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\n{}",
+    "status of four digits": b"HTTP/1.1 0200 X\r\ncontent-length: 2\r\n\r\n{}",
 }
 
 
