Free what a stream received when its caller does not read

The unread responses themselves were charged and bounded. Three things beside them were not: a channel that was closed kept the received bytes in its reference cycle with the parser until a collection (71 MB in 90 dead channels), a stream kept what it had forwarded while it waited for the next bytes, and a read brought up to 768 KiB for each stream before any was forwarded.

Closing a channel now drops what was received; the rest of the response then counts as broken off. A stream keeps no forwarded bytes. Reading pauses at 64 KiB instead of 512 KiB.

Slowing the upstream down was left out: its slot would be held for as long as the caller does not read. The connection is still aborted at 2 MiB, or earlier when all together hold too much.

--- a/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/requests/_streams.py
@@ -145,6 +145,9 @@
                         )
                     if splitter.is_oversized:
                         return ConnectionLost("bytes without a numbered event")
+                    # Nothing is kept of what was forwarded while the next bytes are
+                    # awaited: a read returns up to 320 KiB.
+                    del data, events
             if splitter.remainder:
                 # The body is complete for HTTP, but its last event is truncated.
                 return ConnectionLost("ended inside an event")
--- a/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
+++ b/libs/gateway/src/waxwingbarrow/gateway/upstreams/_channels.py
@@ -34,7 +34,7 @@
 # Lower bound of an idle timeout after the margin was subtracted.
 MIN_IDLE_TIMEOUT_S = 0.5
 # Reading from the socket pauses while more of a body than this is unread.
-MAX_BUFFERED_BYTES = 524_288
+MAX_BUFFERED_BYTES = 65_536
 # Parts of at least this size are kept as they are; a part takes about 50 bytes more.
 MIN_PART_BYTES = 4_096
 
@@ -115,6 +115,14 @@
         self.buffered_bytes += len(part)
         self.body_bytes += len(part)
 
+    def drop_parts(self) -> None:
+        """Free what was not read; the response is then incomplete."""
+        if self.chunks:
+            self.chunks.clear()
+            self.buffered_bytes = 0
+            self.complete = False
+            self.error = self.error or BrokenError("closed before the body was read")
+
 
 class Channel(asyncio.Protocol):
     """A connection that carries one request and its response at a time.
@@ -395,8 +403,15 @@
         """Close the connection; an upstream then cancels the request it runs for it.
 
         During an exchange the connection is reset: a request that a cut network holds
-        up must not arrive after it was given up.
+        up must not arrive after it was given up. What was received is dropped: the
+        channel and its parser refer to each other, so it lasts until a collection.
         """
+        self._disconnect()
+        if self._exchange is not None:
+            self._exchange.drop_parts()
+
+    def _disconnect(self) -> None:
+        """Close the connection; parts that were received can still be read."""
         self.reusable = False
         if self._transport is None or self._transport.is_closing():
             return
@@ -412,7 +427,7 @@
         """Close the connection after bytes that are not part of a response."""
         self.reusable = False
         if exchange.complete:
-            self.close()
+            self._disconnect()
         else:
             self._fail(BrokenError(reason))
 
@@ -420,7 +435,7 @@
         exchange = self._exchange
         if exchange is not None and exchange.error is None and not exchange.complete:
             exchange.error = error
-        self.close()
+        self._disconnect()
         self._notify_reader()
 
     def _notify_reader(self) -> None:
